--- a/crates/marigoldloom_bench/src/naive.rs
+++ b/crates/marigoldloom_bench/src/naive.rs
@@ -49,7 +49,8 @@
         let results: Vec<_> = numbered
             .filter_map(|(shard, body)| {
                 let body = answer::Body(body?);
-                Some(answer::Part { shard, body })
+                let head = None;
+                Some(answer::Part { shard, body, head })
             })
             .collect();
         let answered: Vec<u32> = results.iter().map(|p| p.shard).collect();
@@ -92,6 +93,7 @@
                 snapshot: Arc::clone(&snapshot),
                 deadline: request.deadline,
                 body: Arc::clone(&request.body),
+                call: None,
                 key: None,
                 start: None,
             };
--- a/crates/marigoldloom_bench/src/world.rs
+++ b/crates/marigoldloom_bench/src/world.rs
@@ -8,6 +8,7 @@
 use marigoldloom_records::{class, record};
 use marigoldloom_routing::topology;
 use marigoldloom_runtime::runtime::Runtime;
+use marigoldloom_runtime::scope;
 use marigoldloom_testkit::{fake_fleet, virtual_runtime};
 use marigoldloom_upstream::message;
 
@@ -121,6 +122,9 @@
             route: Arc::from("find"),
             deadline: self.rt.now() + time,
             body: Arc::from(body),
+            call: None,
+            policy: request::Policy::default(),
+            scope: scope::Scope::new(),
         }
     }
 
--- a/crates/marigoldloom_capacity/src/engine.rs
+++ b/crates/marigoldloom_capacity/src/engine.rs
@@ -14,6 +14,7 @@
 use marigoldloom_routing::topology;
 use marigoldloom_runtime::async_std_runtime::AsyncStd;
 use marigoldloom_runtime::runtime::Runtime;
+use marigoldloom_runtime::scope;
 use marigoldloom_standin::upstream as standin;
 use marigoldloom_testkit::{fake_fleet, virtual_runtime};
 use marigoldloom_upstream::upstream::{Target, Upstream};
@@ -143,6 +144,9 @@
         service: Arc::from(service),
         route: Arc::from(route),
         deadline: rt.now() + LIMIT,
+        call: None,
+        policy: request::Policy::default(),
+        scope: scope::Scope::new(),
     }
 }
 
@@ -199,6 +203,7 @@
         snapshot: Arc::clone(snapshot),
         deadline: request.deadline,
         body: Arc::clone(&request.body),
+        call: None,
         key: None,
         start: None,
     }
--- a/crates/marigoldloom_capacity/src/memory.rs
+++ b/crates/marigoldloom_capacity/src/memory.rs
@@ -107,7 +107,7 @@
 }
 
 fn follow(topology: &topology::Topology) -> health::Table {
-    let table = health::Table::new();
+    let table = health::Table::new(health::Observation::default());
     table.follow(Timestamp::ZERO, topology);
     table
 }
--- a/crates/marigoldloom_capacity/src/rebuild.rs
+++ b/crates/marigoldloom_capacity/src/rebuild.rs
@@ -111,7 +111,7 @@
             builder,
             homes: homes::Homes::default(),
             electorates: homes::Electorates::default(),
-            health: health::Table::new(),
+            health: health::Table::new(health::Observation::default()),
             instances: (0..instances).map(candidate).collect(),
         }
     }
--- /dev/null
+++ b/crates/marigoldloom_catalog/src/lib.rs
@@ -0,0 +1,13 @@
+//! What operators configure and which upstreams exist, on a platform that keeps both.
+//!
+//! A [`source::Source`] reads records from the platform. [`follower`] keeps a
+//! [`catalog::Catalog`] up to date with it, and each change gives a new [`view::View`]
+//! for the request path.
+
+pub mod catalog;
+pub mod configuration;
+pub mod follower;
+pub mod replica;
+pub mod source;
+pub mod table;
+pub mod view;
--- a/crates/marigoldloom_daemon/src/caller.rs
+++ b/crates/marigoldloom_daemon/src/caller.rs
@@ -10,7 +10,7 @@
 use marigoldloom_records::{class, record, service};
 use marigoldloom_runtime::async_std_runtime::AsyncStd;
 use marigoldloom_runtime::runtime::Runtime;
-use marigoldloom_runtime::time;
+use marigoldloom_runtime::{scope, time};
 use marigoldloom_telemetry::{event, metrics};
 use marigoldloom_upstream::message as upstream;
 
@@ -119,6 +119,9 @@
             route: Arc::from(route),
             deadline: self.rt.now() + limit,
             body: Arc::from(http.body.as_slice()),
+            call: None,
+            policy: request::Policy::default(),
+            scope: scope::Scope::new(),
         };
         Ok(Call {
             request,
--- a/crates/marigoldloom_daemon/src/forwarding.rs
+++ b/crates/marigoldloom_daemon/src/forwarding.rs
@@ -14,7 +14,7 @@
 use marigoldloom_records::class;
 use marigoldloom_runtime::async_std_runtime::AsyncStd;
 use marigoldloom_runtime::runtime::Runtime;
-use marigoldloom_runtime::time;
+use marigoldloom_runtime::{scope, time};
 use marigoldloom_upstream::message as upstream;
 
 use crate::caller;
@@ -92,6 +92,9 @@
         route: Arc::from(message.route),
         deadline: now + Duration::from_millis(message.remaining_ms),
         body: Arc::from(message.body),
+        call: None,
+        policy: request::Policy::default(),
+        scope: scope::Scope::new(),
     };
     caller::Call {
         request,
--- a/crates/marigoldloom_daemon/tests/version_moves.rs
+++ b/crates/marigoldloom_daemon/tests/version_moves.rs
@@ -87,6 +87,8 @@
         start: None,
         in_flight: 0,
         latency: Duration::ZERO,
+        oldest: Duration::ZERO,
+        failing: 0.0,
         standing,
         cold: standing == Standing::Cold,
         shedding: false,
--- /dev/null
+++ b/crates/marigoldloom_front/src/client.rs
@@ -0,0 +1,270 @@
+//! Sends callers' requests to replicas over pooled HTTP/1.1 connections.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use async_std::net::TcpStream;
+use async_std::{future, task};
+use bytes::Bytes;
+use http::header::CONTENT_ENCODING;
+use http::{Request, Response, Uri};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use marigoldloom_http::{client, pool};
+use marigoldloom_routing::topology;
+use marigoldloom_runtime::runtime::Runtime;
+use marigoldloom_upstream::message::{self, Head, Reply, Subquery};
+use marigoldloom_upstream::upstream::{self, Error, Refusal, Target};
+use smol_hyper::rt::FuturesIo;
+
+use crate::dialect::{Dialect, Mark};
+use crate::headers;
+
+/// Connections that had ended unnoticed which one attempt may meet before it gives up.
+const STALE_LIMIT: u32 = 4;
+
+/// Limits of the client.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// Time to open a connection. A handshake takes up to 6 ms, and a round trip between
+    /// regions 40 ms.
+    pub connect: Duration,
+    /// Connections to one replica that are being opened at a time.
+    pub opening: usize,
+    /// How long a connection may stay idle.
+    pub idle: Duration,
+    /// Largest response body in bytes.
+    pub reply: usize,
+    /// Instances that share the connections that a replica accepts.
+    pub sharers: u32,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            connect: Duration::from_millis(250),
+            opening: 4,
+            idle: Duration::from_secs(60),
+            reply: 4 * 1024 * 1024,
+            sharers: 8,
+        }
+    }
+}
+
+/// One HTTP/1.1 connection to a replica.
+pub struct Link {
+    sender: http1::SendRequest<Full<Bytes>>,
+}
+
+impl pool::Reusable for Link {
+    async fn open(
+        address: SocketAddr,
+        _settings: &pool::Settings,
+        limit: Duration,
+    ) -> Result<Self, client::Error> {
+        let unreachable = |_| client::Error::Unreachable;
+        let stream = match future::timeout(limit, TcpStream::connect(address)).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(_)) | Err(_) => return Err(client::Error::Unreachable),
+        };
+        stream
+            .set_nodelay(true)
+            .map_err(|_| client::Error::Unreachable)?;
+        let io = FuturesIo::new(stream);
+        let (sender, connection) = http1::handshake(io).await.map_err(unreachable)?;
+        task::spawn(async move {
+            if let Err(error) = connection.await {
+                tracing::debug!(%address, %error, "connection to an upstream ended");
+            }
+        });
+        Ok(Self { sender })
+    }
+
+    fn is_usable(&self) -> bool {
+        self.sender.is_ready()
+    }
+}
+
+/// The client. Clones share the connections.
+#[derive(Clone)]
+pub struct Client<R, D> {
+    rt: R,
+    dialect: D,
+    settings: Arc<Settings>,
+    pools: Arc<Mutex<BTreeMap<Target, pool::Pool<Link>>>>,
+}
+
+impl<R: Runtime, D: Dialect> Client<R, D> {
+    /// Creates a client without connections.
+    pub fn new(rt: R, dialect: D, settings: Settings) -> Self {
+        Self {
+            rt,
+            dialect,
+            settings: Arc::new(settings),
+            pools: Arc::default(),
+        }
+    }
+
+    /// Closes idle connections to replicas that are gone and creates pools for new ones.
+    pub fn follow(&self, topology: &topology::Topology) {
+        let mut pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut old = std::mem::take(&mut *pools);
+        let services = topology.services().values();
+        for replica in services.flat_map(|s| s.upstreams().values()) {
+            if pools.contains_key(&replica.target) {
+                continue;
+            }
+            let limit = self.share(replica.connections);
+            let pool = match old.remove(&replica.target) {
+                Some(pool) => {
+                    pool.set_limit(limit);
+                    pool
+                }
+                None => self.pool(replica.target.address, limit),
+            };
+            pools.insert(replica.target.clone(), pool);
+        }
+    }
+
+    /// This instance's share of the connections that a replica accepts.
+    fn share(&self, connections: u32) -> usize {
+        let share = connections / self.settings.sharers.max(1);
+        usize::try_from(share.max(1)).unwrap_or(1)
+    }
+
+    fn pool(&self, address: SocketAddr, limit: usize) -> pool::Pool<Link> {
+        let settings = pool::Settings {
+            connections: limit,
+            opening: self.settings.opening,
+            connect: self.settings.connect,
+            idle: self.settings.idle,
+            reply: self.settings.reply,
+        };
+        pool::Pool::new(address, settings)
+    }
+
+    fn pool_of(&self, target: &Target) -> Option<pool::Pool<Link>> {
+        let pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
+        pools.get(target).cloned()
+    }
+
+    async fn exchange(&self, target: &Target, subquery: &Subquery) -> Result<Reply, Error> {
+        let call = subquery.call.as_ref().ok_or(Error::Unreachable)?;
+        let pool = self.pool_of(target).ok_or(Error::Unreachable)?;
+        for _ in 0..STALE_LIMIT {
+            let left = subquery.deadline.since(self.rt.now());
+            let mut lease = pool.lease(left).await.map_err(|error| match error {
+                pool::Error::Expired => refused(Refusal::Expired),
+                pool::Error::Unreachable => Error::Unreachable,
+            })?;
+            let request = self.request(target, subquery, call)?;
+            match lease.connection().sender.try_send_request(request).await {
+                Ok(response) => {
+                    let (reply, sound) = self.read(subquery, response).await;
+                    if sound {
+                        lease.keep();
+                    }
+                    return reply;
+                }
+                Err(mut error) => {
+                    // A connection that gives the request back has sent no byte of it.
+                    let unsent = error.take_message().is_some();
+                    if !unsent {
+                        return Err(Error::Lost);
+                    }
+                }
+            }
+        }
+        Err(Error::Unreachable)
+    }
+
+    fn request(
+        &self,
+        target: &Target,
+        subquery: &Subquery,
+        call: &message::Call,
+    ) -> Result<Request<Full<Bytes>>, Error> {
+        let left = subquery.deadline.since(self.rt.now());
+        if left.is_zero() {
+            return Err(refused(Refusal::Expired));
+        }
+        let body = Full::new(Bytes::copy_from_slice(&subquery.body));
+        let mut request = Request::new(body);
+        *request.method_mut() = call.method.clone();
+        *request.uri_mut() = Uri::from(call.target.clone());
+        *request.headers_mut() = call.headers.clone();
+        self.dialect
+            .address(request.headers_mut(), &target.name, left);
+        Ok(request)
+    }
+
+    /// Reads a response. Returns also whether the connection may be used again.
+    async fn read(
+        &self,
+        subquery: &Subquery,
+        response: Response<Incoming>,
+    ) -> (Result<Reply, Error>, bool) {
+        let (mut head, body) = response.into_parts();
+        let sound = !headers::says_close(&head.headers);
+        let mark = self.dialect.mark(head.status, &head.headers);
+        let own = mark
+            .echo
+            .as_deref()
+            .is_none_or(|id| *id == *subquery.request.0);
+        if !own {
+            return (Err(Error::Mismatch), false);
+        }
+        let body = match Limited::new(body, self.settings.reply).collect().await {
+            Ok(body) => body.to_bytes(),
+            Err(_) => return (Err(Error::Lost), false),
+        };
+        headers::remove_hop_by_hop(&mut head.headers);
+        let reply = Reply {
+            body: body.into(),
+            head: Some(Box::new(Head {
+                status: head.status,
+                headers: head.headers,
+            })),
+            report: mark.report,
+        };
+        (judge(reply, &mark), sound)
+    }
+}
+
+impl<R: Runtime, D: Dialect> upstream::Upstream for Client<R, D> {
+    async fn send(&self, target: &Target, subquery: &Subquery) -> Result<Reply, Error> {
+        self.exchange(target, subquery).await
+    }
+}
+
+/// Tells answers from refusals and failures.
+fn judge(reply: Reply, mark: &Mark) -> Result<Reply, Error> {
+    let head = reply.head.as_ref();
+    let status = head.map_or(0, |h| h.status.as_u16());
+    let encoded = head.is_some_and(|h| h.headers.contains_key(CONTENT_ENCODING));
+    let failed = |reply| Error::Failed {
+        status,
+        report: Some(mark.report),
+        reply,
+    };
+    match status {
+        _ if mark.misdirected => Err(refused(Refusal::Restarted)),
+        _ if mark.refused => Err(Error::Refused {
+            refusal: Refusal::Shed,
+            report: Some(mark.report),
+        }),
+        200..=299 if encoded || mark.signature.is_none() => Err(failed(None)),
+        500.. => Err(failed(Some(Box::new(reply)))),
+        _ => Ok(reply),
+    }
+}
+
+fn refused(refusal: Refusal) -> Error {
+    Error::Refused {
+        refusal,
+        report: None,
+    }
+}
--- /dev/null
+++ b/crates/marigoldloom_front/src/front.rs
@@ -0,0 +1,347 @@
+//! Answers callers' requests through the query engine.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::HOST;
+use http::{Request, Response, StatusCode, request};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use marigoldloom_catalog::configuration::{Backend, Limits, Route, Scatter, Share};
+use marigoldloom_catalog::follower::Latest;
+use marigoldloom_catalog::view;
+use marigoldloom_query::answer::{Answer, Part, Reason};
+use marigoldloom_query::engine::{Engine, Outcome};
+use marigoldloom_query::hooks::Hooks;
+use marigoldloom_query::refusal::{Kind, Refusal, Run};
+use marigoldloom_query::request::{Policy, Request as Query, Timely};
+use marigoldloom_records::class::Class;
+use marigoldloom_runtime::runtime::Runtime;
+use marigoldloom_runtime::scope::Scope;
+use marigoldloom_runtime::time::Timestamp;
+use marigoldloom_upstream::message::{Call, RequestId};
+use marigoldloom_upstream::upstream::Upstream;
+use xxhash_rust::xxh3;
+
+use crate::dialect::{Caller, Dialect};
+use crate::headers;
+use crate::listener::Handler;
+use crate::merge;
+
+/// Time that an answer takes to the caller: the way there, and a wait for the processor.
+const ANSWER_TRAVEL: Duration = Duration::from_millis(10);
+
+/// Part of a request's objective that its way to this instance and back takes, with the
+/// opening of the caller's connection: three round trips of 6 ms and the merge of the parts.
+const OBJECTIVE_MARGIN: Duration = Duration::from_millis(20);
+
+/// When a caller may try again where the state gives no better time.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
+
+/// Tenant of requests whose callers don't name one.
+const TENANT: &str = "default";
+
+/// The front end. Clones share all state.
+pub struct Front<R, U, H, D> {
+    shared: Arc<Shared<R, U, H, D>>,
+}
+
+struct Shared<R, U, H, D> {
+    rt: R,
+    engine: Engine<R, U, H>,
+    dialect: D,
+    latest: Latest,
+}
+
+impl<R, U, H, D> Clone for Front<R, U, H, D> {
+    fn clone(&self) -> Self {
+        Self {
+            shared: Arc::clone(&self.shared),
+        }
+    }
+}
+
+/// One request on its way through the front end.
+struct Arrival {
+    at: Timestamp,
+    caller: Caller,
+    route: Arc<Route>,
+    call: Arc<Call>,
+    body: Arc<[u8]>,
+}
+
+/// Why a request is answered without the engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Rejection {
+    /// No configuration is known yet.
+    NotReady,
+    /// No route fits.
+    NoRoute,
+    /// The request has no id, or no target that can be passed on.
+    Malformed,
+    /// The body is longer than the limit.
+    TooLong,
+    /// The body ended early.
+    Broken,
+}
+
+impl<R: Runtime, U: Upstream, H: Hooks, D: Dialect> Front<R, U, H, D> {
+    /// Creates a front end that finds routes in `latest`.
+    pub fn new(rt: R, engine: Engine<R, U, H>, dialect: D, latest: Latest) -> Self {
+        Self {
+            shared: Arc::new(Shared {
+                rt,
+                engine,
+                dialect,
+                latest,
+            }),
+        }
+    }
+
+    async fn arrive(&self, request: Request<Incoming>) -> Result<Arrival, Rejection> {
+        let at = self.shared.rt.now();
+        let view = self.shared.latest.get().ok_or(Rejection::NotReady)?;
+        let (head, body) = request.into_parts();
+        let host = host(&head).ok_or(Rejection::Malformed)?;
+        let target = head.uri.path_and_query().ok_or(Rejection::Malformed)?;
+        let route = view
+            .table
+            .find(host, target.path())
+            .ok_or(Rejection::NoRoute)?;
+        let caller = self.shared.dialect.caller(&head.headers);
+        if caller.id.is_none() {
+            return Err(Rejection::Malformed);
+        }
+        let body = Limited::new(body, view.limits.body).collect().await;
+        let body = body.map_err(
+            |error| match error.is::<http_body_util::LengthLimitError>() {
+                true => Rejection::TooLong,
+                false => Rejection::Broken,
+            },
+        )?;
+        let (target, route) = (target.clone(), Arc::clone(route));
+        let mut headers = head.headers;
+        headers::remove_hop_by_hop(&mut headers);
+        let call = Call {
+            method: head.method,
+            target,
+            headers,
+        };
+        Ok(Arrival {
+            at,
+            caller,
+            route,
+            call: Arc::new(call),
+            body: Arc::from(&*body.to_bytes()),
+        })
+    }
+
+    async fn answer(&self, arrival: &Arrival) -> Response<Full<Bytes>> {
+        let route = &*arrival.route;
+        match &route.backend {
+            Backend::Scatter(scatter) => self.scatter(arrival, scatter).await,
+            Backend::Single(service) => self.relay(arrival, service).await,
+            Backend::Split(shares) => match draw(shares, arrival.caller.id.as_deref()) {
+                Some(service) => self.relay(arrival, service).await,
+                None => self.refuse(arrival, &Refusal::not_run(Kind::UnknownService)),
+            },
+        }
+    }
+
+    /// Passes a request on to one replica of `service`.
+    async fn relay(&self, arrival: &Arrival, service: &Arc<str>) -> Response<Full<Bytes>> {
+        let key = view::backend_key(&[Arc::clone(service)], &arrival.route.regions);
+        let (query, guard) = self.query(arrival, key, None);
+        let result = match arrival.route.idempotent {
+            true => self.shared.engine.run(&query).await,
+            false => match self.shared.engine.run_once(&query, &query.id.0).await {
+                Outcome::Done(answer) => Ok(answer),
+                Outcome::NotRun(refusal) | Outcome::Unknown(refusal) => Err(refusal),
+            },
+        };
+        guard.finish();
+        match result {
+            Ok(answer) => match answer.results.into_iter().next() {
+                Some(part) => unchanged(part),
+                None => self.refuse(arrival, &Refusal::not_run(Kind::Unavailable)),
+            },
+            Err(refusal) => self.refuse(arrival, &refusal),
+        }
+    }
+
+    /// Asks one replica of each shard and merges what they answer.
+    async fn scatter(&self, arrival: &Arrival, scatter: &Scatter) -> Response<Full<Bytes>> {
+        let route = &*arrival.route;
+        let key = view::backend_key(&scatter.shards, &route.regions);
+        let objective = route.objective.saturating_sub(OBJECTIVE_MARGIN);
+        let timely = Timely {
+            at: arrival.at + objective,
+            least: u32::try_from(scatter.quorum()).unwrap_or(u32::MAX),
+        };
+        let (query, guard) = self.query(arrival, key, Some(timely));
+        let result = self.shared.engine.run(&query).await;
+        guard.finish();
+        match result {
+            Ok(answer) if answer.results.len() >= scatter.quorum() => self.merged(&answer, scatter),
+            Ok(answer) => {
+                let reason = answer.coverage.missing.first().map(|m| m.reason);
+                let refusal = Refusal::not_run(Kind::Unavailable);
+                let reason = reason.unwrap_or(Reason::NoReplica);
+                self.refuse(arrival, &refusal.because(reason, Run::Unknown))
+            }
+            Err(refusal) => self.refuse(arrival, &refusal),
+        }
+    }
+
+    fn query(
+        &self,
+        arrival: &Arrival,
+        service: Arc<str>,
+        timely: Option<Timely>,
+    ) -> (Query, marigoldloom_runtime::scope::Guard) {
+        let route = &*arrival.route;
+        let patience = arrival.caller.patience.unwrap_or(route.timeout);
+        let patience = patience.saturating_sub(ANSWER_TRAVEL).min(route.timeout);
+        let scope = Scope::new();
+        let guard = scope.guard();
+        let query = Query {
+            id: RequestId(Arc::from(arrival.caller.id.as_deref().unwrap_or_default())),
+            tenant: Arc::from(TENANT),
+            class: class(route.priority),
+            service,
+            route: Arc::clone(&route.name),
+            deadline: arrival.at + patience,
+            body: Arc::clone(&arrival.body),
+            call: Some(Arc::clone(&arrival.call)),
+            policy: Policy {
+                attempts: route.attempts.max(1),
+                timely,
+                patient: false,
+            },
+            scope,
+        };
+        (query, guard)
+    }
+
+    fn merged(&self, answer: &Answer, scatter: &Scatter) -> Response<Full<Bytes>> {
+        let parts = answer.results.iter().map(|p| p.body.0.as_slice());
+        let body = merge::greatest(parts, scatter.top);
+        let mut response = Response::new(Full::new(Bytes::from(body)));
+        let heads = answer.results.iter().filter_map(|p| p.head.as_ref());
+        let marks = heads.map(|h| self.shared.dialect.mark(h.status, &h.headers));
+        let signatures: Vec<_> = marks.filter_map(|m| m.signature).collect();
+        let missing = scatter.shards.len().saturating_sub(answer.results.len());
+        let headers = response.headers_mut();
+        self.shared.dialect.cover(headers, &signatures, missing);
+        response
+    }
+
+    fn refuse(&self, arrival: &Arrival, refusal: &Refusal) -> Response<Full<Bytes>> {
+        let status = status(refusal);
+        tracing::info!(
+            request = arrival.caller.id.as_deref(),
+            route = %arrival.route.name,
+            status = status.as_u16(),
+            kind = %refusal.kind,
+            reason = refusal.reason.map(tracing::field::display),
+            run = %refusal.run,
+            "request refused"
+        );
+        let pause = refusal.retry_after.unwrap_or(RETRY_PAUSE).min(RETRY_PAUSE);
+        self.plain(status, pause)
+    }
+
+    fn plain(&self, status: StatusCode, pause: Duration) -> Response<Full<Bytes>> {
+        let mut response = Response::new(Full::new(Bytes::new()));
+        *response.status_mut() = status;
+        if status == StatusCode::SERVICE_UNAVAILABLE {
+            self.shared
+                .dialect
+                .retry_after(response.headers_mut(), pause);
+        }
+        response
+    }
+}
+
+impl<R: Runtime, U: Upstream, H: Hooks, D: Dialect> Handler for Front<R, U, H, D> {
+    fn limits(&self) -> Limits {
+        self.shared
+            .latest
+            .get()
+            .map_or_else(Limits::default, |v| v.limits)
+    }
+
+    async fn handle(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        match self.arrive(request).await {
+            Ok(arrival) => self.answer(&arrival).await,
+            Err(rejection) => {
+                tracing::info!(?rejection, "request rejected");
+                self.plain(rejection.status(), RETRY_PAUSE)
+            }
+        }
+    }
+}
+
+impl Rejection {
+    const fn status(self) -> StatusCode {
+        match self {
+            Self::NotReady => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::Malformed | Self::Broken => StatusCode::BAD_REQUEST,
+            Self::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
+        }
+    }
+}
+
+/// The host that a request names.
+fn host(head: &request::Parts) -> Option<&str> {
+    let authority = head.uri.authority().map(http::uri::Authority::as_str);
+    let header = || head.headers.get(HOST).and_then(|h| h.to_str().ok());
+    authority.or_else(header)
+}
+
+/// Draws a service by weight; the same request always draws the same one.
+fn draw<'a>(shares: &'a [Share], id: Option<&str>) -> Option<&'a Arc<str>> {
+    let total: f64 = shares.iter().map(|s| s.weight).sum();
+    let hash = xxh3::xxh3_64(id.unwrap_or_default().as_bytes());
+    let mut point = hash as f64 / u64::MAX as f64 * total;
+    for share in shares {
+        if point < share.weight {
+            return Some(&share.service);
+        }
+        point -= share.weight;
+    }
+    shares
+        .iter()
+        .rev()
+        .find(|s| s.weight > 0.0)
+        .map(|s| &s.service)
+}
+
+fn class(priority: u32) -> Class {
+    match priority {
+        0 => Class::Interactive,
+        1 => Class::Standard,
+        _ => Class::Bulk,
+    }
+}
+
+/// An upstream's response as it came.
+fn unchanged(part: Part) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(part.body.0)));
+    if let Some(head) = part.head {
+        *response.status_mut() = head.status;
+        *response.headers_mut() = head.headers;
+    }
+    response
+}
+
+/// 503 promises that the request has not run; the others promise nothing.
+const fn status(refusal: &Refusal) -> StatusCode {
+    match (refusal.run, refusal.reason) {
+        (Run::NotRun, _) => StatusCode::SERVICE_UNAVAILABLE,
+        (Run::Unknown, Some(Reason::TimedOut)) => StatusCode::GATEWAY_TIMEOUT,
+        (Run::Unknown, _) => StatusCode::BAD_GATEWAY,
+    }
+}
--- /dev/null
+++ b/crates/marigoldloom_front/src/instance.rs
@@ -0,0 +1,197 @@
+//! One instance of the front end: follows the platform, serves callers, stops on a signal.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_std::task;
+use bytes::Bytes;
+use derive_more::derive;
+use futures::StreamExt;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use marigoldloom_catalog::catalog::Place;
+use marigoldloom_catalog::configuration::Limits;
+use marigoldloom_catalog::follower::{self, Latest};
+use marigoldloom_catalog::source::Source;
+use marigoldloom_limits::{budget, cold};
+use marigoldloom_query::engine::{self, Engine};
+use marigoldloom_query::hooks;
+use marigoldloom_routing::health;
+use marigoldloom_runtime::async_std_runtime::AsyncStd;
+use marigoldloom_runtime::runtime::Runtime;
+use marigoldloom_runtime::scope::Scope;
+use signal_hook::consts::signal;
+use signal_hook_async_std::Signals;
+
+use crate::client::{self, Client};
+use crate::dialect::Dialect;
+use crate::front::Front;
+use crate::listener::{self, Handler, Stop};
+
+/// Time after a stop signal in which new connections are still accepted. The balancer asks
+/// each second whether the instance is ready and acts on the second refusal.
+const LEAVE_TIME: Duration = Duration::from_millis(2_800);
+
+/// Part of the time between the stop signal and the kill that is kept for the exit.
+const EXIT_MARGIN: Duration = Duration::from_millis(300);
+
+/// Time between two looks whether all connections are closed.
+const STOP_POLL: Duration = Duration::from_millis(20);
+
+/// Latency quantile after which a subquery is hedged.
+const HEDGE_QUANTILE: f64 = 0.9;
+
+/// Settings of an instance.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the balancer asks whether the instance is ready.
+    pub readiness: SocketAddr,
+    /// Path of that question.
+    pub readiness_path: &'static str,
+    /// Where the instance is.
+    pub place: Place,
+    /// Time between the stop signal and the kill.
+    pub grace: Duration,
+    /// Extra attempts as a share of first ones that the operators allow per service.
+    pub extra: f64,
+    /// Limits of connections to replicas.
+    pub client: client::Settings,
+}
+
+/// Why an instance can't run.
+#[derive(Debug)]
+#[derive(derive::Display, derive::Error)]
+pub enum Error {
+    /// An address can't be bound.
+    #[display("{address} can't be bound: {error}")]
+    Bind {
+        /// Address.
+        address: SocketAddr,
+        /// What the operating system says.
+        error: io::Error,
+    },
+    /// Signals can't be handled.
+    #[display("signals can't be handled: {_0}")]
+    Signals(io::Error),
+}
+
+/// Runs an instance until it is told to stop.
+///
+/// # Errors
+///
+/// [`Error`] if it can't start.
+pub async fn run<S: Source, D: Dialect>(
+    settings: Settings,
+    source: S,
+    dialect: D,
+) -> Result<(), Error> {
+    let rt = AsyncStd::new();
+    let signals = Signals::new([signal::SIGTERM, signal::SIGINT, signal::SIGHUP]);
+    let signals = signals.map_err(Error::Signals)?;
+    let client = Client::new(rt, dialect.clone(), settings.client.clone());
+    let parts = hooks::Parts {
+        versions: hooks::Active,
+        leases: cold::Lone,
+        observer: hooks::Silent,
+    };
+    let engine = Engine::new(rt, client.clone(), parts, engine_settings(&settings));
+    let latest = Latest::default();
+    let follow = {
+        let (engine, latest) = (engine.clone(), latest.clone());
+        follower::follow(rt, source, settings.place.clone(), move |view| {
+            client.follow(&view.topology);
+            engine.apply(view.topology.clone());
+            latest.set(view);
+        })
+    };
+    rt.spawn(follow);
+    let stop = Stop::default();
+    let front = Front::new(rt, engine, dialect, latest.clone());
+    bind(settings.callers, front, stop.clone()).await?;
+    let readiness = Readiness {
+        path: settings.readiness_path,
+        latest,
+        closing: stop.closing.clone(),
+    };
+    bind(settings.readiness, readiness, Stop::default()).await?;
+    tracing::info!(callers = %settings.callers, readiness = %settings.readiness, "started");
+    await_stop(signals).await;
+    leave(&settings, &stop).await;
+    Ok(())
+}
+
+fn engine_settings(settings: &Settings) -> engine::Settings {
+    // Thousandths of first attempts.
+    let extra = (settings.extra * 1_000.0) as u64;
+    engine::Settings {
+        quantile: HEDGE_QUANTILE,
+        budget: budget::Limits {
+            hedges: extra * 3 / 4,
+            extra: extra * 9 / 10,
+            burst: 4,
+        },
+        canary: engine::Canary::AfterStrike,
+        losers: engine::Losers::Finish,
+        cold_start: health::ColdStart::Announced,
+        ..engine::Settings::default()
+    }
+}
+
+async fn bind(address: SocketAddr, handler: impl Handler, stop: Stop) -> Result<(), Error> {
+    let bound = listener::bind(address, handler, stop).await;
+    bound.map_err(|error| Error::Bind { address, error })
+}
+
+async fn await_stop(mut signals: Signals) {
+    while let Some(signal) = signals.next().await {
+        match signal {
+            signal::SIGHUP => tracing::info!("the settings have no part that can change"),
+            _ => {
+                tracing::info!(signal, "stopping");
+                return;
+            }
+        }
+    }
+}
+
+/// Leaves the balancer's rotation, answers what is running and returns.
+async fn leave(settings: &Settings, stop: &Stop) {
+    stop.closing.cancel();
+    task::sleep(LEAVE_TIME).await;
+    stop.stopped.cancel();
+    let rest = settings.grace.saturating_sub(LEAVE_TIME + EXIT_MARGIN);
+    let rt = AsyncStd::new();
+    while stop.connections() > 0 && rt.now().as_nanos() < rest.as_nanos() as u64 {
+        task::sleep(STOP_POLL).await;
+    }
+    tracing::info!(connections = stop.connections(), "stopped");
+}
+
+/// Says whether the instance takes requests.
+#[derive(Clone)]
+struct Readiness {
+    path: &'static str,
+    latest: Latest,
+    closing: Scope,
+}
+
+impl Handler for Readiness {
+    fn limits(&self) -> Limits {
+        Limits::default()
+    }
+
+    async fn handle(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let ready = !self.closing.is_cancelled() && self.latest.get().is_some();
+        let mut response = Response::new(Full::new(Bytes::new()));
+        *response.status_mut() = match request.uri().path() {
+            path if path != self.path => StatusCode::NOT_FOUND,
+            _ if ready => StatusCode::OK,
+            _ => StatusCode::SERVICE_UNAVAILABLE,
+        };
+        response
+    }
+}
--- /dev/null
+++ b/crates/marigoldloom_front/src/lib.rs
@@ -0,0 +1,17 @@
+//! The front end that passes callers' HTTP requests on to upstreams unchanged.
+//!
+//! Routes and replicas come from the catalog, every decision about where and how often a
+//! request is sent from the query engine. How callers and upstreams spell what the tier needs
+//! to know is up to a [`dialect::Dialect`].
+//!
+//! HTTP is hyper's here and not async-h1's: async-h1 keeps neither the target of a request byte
+//! for byte nor a response body that ends with its connection.
+
+pub mod client;
+pub mod dialect;
+pub mod front;
+pub mod headers;
+pub mod instance;
+pub mod listener;
+pub mod merge;
+mod timer;
--- /dev/null
+++ b/crates/marigoldloom_front/src/listener.rs
@@ -0,0 +1,124 @@
+//! Accepts callers' connections, one task each.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+use std::{convert, io, pin};
+
+use async_std::net::{TcpListener, TcpStream};
+use async_std::task;
+use bytes::Bytes;
+use futures::future::{self, Either};
+use http::header::CONNECTION;
+use http::{HeaderValue, Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use marigoldloom_catalog::configuration::Limits;
+use marigoldloom_runtime::scope::Scope;
+use smol_hyper::rt::FuturesIo;
+
+use crate::timer::AsyncStdTimer;
+
+/// Pause after a failed accept, e.g. for want of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+/// Least buffer that hyper takes for a request's head.
+const LEAST_BUFFER: usize = 8 * 1024;
+
+/// Answers requests.
+pub trait Handler: Clone + Send + Sync + 'static {
+    /// Limits on a new connection.
+    fn limits(&self) -> Limits;
+
+    /// Answers one request. The future is dropped when the caller closes the connection.
+    fn handle(
+        &self,
+        request: Request<Incoming>,
+    ) -> impl Future<Output = Response<Full<Bytes>>> + Send;
+}
+
+/// How a server is told to stop.
+#[derive(Clone, Debug, Default)]
+pub struct Stop {
+    /// Answers ask callers to close their connections.
+    pub closing: Scope,
+    /// No connection is accepted any more, and idle ones are closed.
+    pub stopped: Scope,
+    open: Arc<AtomicUsize>,
+}
+
+impl Stop {
+    /// Connections that are open.
+    pub fn connections(&self) -> usize {
+        self.open.load(Ordering::Relaxed)
+    }
+}
+
+/// Listens on `address` and serves until `stop` says otherwise.
+///
+/// # Errors
+///
+/// The error of the operating system if the address can't be bound.
+pub async fn bind(address: SocketAddr, handler: impl Handler, stop: Stop) -> io::Result<()> {
+    let listener = TcpListener::bind(address).await?;
+    task::spawn(async move {
+        let accepting = pin::pin!(accept(&listener, &handler, &stop));
+        let stopped = pin::pin!(stop.stopped.cancelled());
+        future::select(accepting, stopped).await;
+    });
+    Ok(())
+}
+
+async fn accept(listener: &TcpListener, handler: &impl Handler, stop: &Stop) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                task::spawn(serve(stream, handler.clone(), stop.clone()));
+            }
+            Err(error) => {
+                tracing::warn!(%error, "connection not accepted");
+                task::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve(stream: TcpStream, handler: impl Handler, stop: Stop) {
+    if let Err(error) = stream.set_nodelay(true) {
+        tracing::debug!(%error, "connection ended before it was served");
+        return;
+    }
+    stop.open.fetch_add(1, Ordering::Relaxed);
+    let limits = handler.limits();
+    let answer = service_fn(|request: Request<Incoming>| async {
+        let mut response = handler.handle(request).await;
+        if stop.closing.is_cancelled() {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(CONNECTION, close);
+        }
+        Ok::<_, convert::Infallible>(response)
+    });
+    let connection = http1::Builder::new()
+        .timer(AsyncStdTimer)
+        // Counts from the end of the previous request, so that it bounds idle time too.
+        .header_read_timeout(limits.idle)
+        .max_buf_size(limits.head.max(LEAST_BUFFER))
+        .auto_date_header(false)
+        .serve_connection(FuturesIo::new(stream), answer);
+    let mut connection = pin::pin!(connection);
+    let stopped = pin::pin!(stop.stopped.cancelled());
+    let result = match future::select(connection.as_mut(), stopped).await {
+        Either::Left((result, _)) => result,
+        Either::Right(((), _)) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = result {
+        tracing::debug!(%error, "a caller's connection ended");
+    }
+    stop.open.fetch_sub(1, Ordering::Relaxed);
+}
--- a/crates/marigoldloom_http/src/pool.rs
+++ b/crates/marigoldloom_http/src/pool.rs
@@ -39,6 +39,34 @@
     }
 }
 
+/// A connection that a pool may keep for the next request.
+pub trait Reusable: Sized + Send + 'static {
+    /// Opens a connection within `limit`.
+    fn open(
+        address: SocketAddr,
+        settings: &Settings,
+        limit: Duration,
+    ) -> impl Future<Output = Result<Self, client::Error>> + Send;
+
+    /// Whether the connection can carry another request.
+    fn is_usable(&self) -> bool;
+}
+
+impl Reusable for client::Connection {
+    async fn open(
+        address: SocketAddr,
+        settings: &Settings,
+        limit: Duration,
+    ) -> Result<Self, client::Error> {
+        let connection = client::open(address, limit).await?;
+        Ok(connection.with_limit(settings.reply))
+    }
+
+    fn is_usable(&self) -> bool {
+        Self::is_usable(self)
+    }
+}
+
 /// Why there is no connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(derive::Display, derive::Error)]
@@ -51,22 +79,22 @@
     Unreachable,
 }
 
-struct Idle {
-    connection: client::Connection,
+struct Idle<C> {
+    connection: C,
     process: Option<u64>,
     since: Instant,
 }
 
 /// A connection and the process at its other end, if it has identified itself.
-type Known = (client::Connection, Option<u64>);
+type Known<C> = (C, Option<u64>);
 
-struct Shared {
+struct Shared<C> {
     address: SocketAddr,
     settings: Settings,
     permits: Arc<Semaphore>,
     size: Mutex<Size>,
     opening: Semaphore,
-    idle: Mutex<VecDeque<Idle>>,
+    idle: Mutex<VecDeque<Idle<C>>>,
 }
 
 struct Size {
@@ -75,12 +103,12 @@
     surplus: usize,
 }
 
-impl Shared {
+impl<C> Shared<C> {
     fn size(&self) -> MutexGuard<'_, Size> {
         self.size.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn idle(&self) -> MutexGuard<'_, VecDeque<Idle>> {
+    fn idle(&self) -> MutexGuard<'_, VecDeque<Idle<C>>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
@@ -89,12 +117,19 @@
 ///
 /// A permit stands for one connection in use. A holder opens a connection only if none
 /// is idle, so connections in use and idle together never exceed the permits.
-#[derive(Clone)]
-pub struct Pool {
-    shared: Arc<Shared>,
+pub struct Pool<C = client::Connection> {
+    shared: Arc<Shared<C>>,
+}
+
+impl<C> Clone for Pool<C> {
+    fn clone(&self) -> Self {
+        Self {
+            shared: Arc::clone(&self.shared),
+        }
+    }
 }
 
-impl Pool {
+impl<C: Reusable> Pool<C> {
     /// Creates a pool without connections.
     pub fn new(address: SocketAddr, settings: Settings) -> Self {
         let limit = settings.connections.max(1);
@@ -140,7 +175,7 @@
     /// # Errors
     ///
     /// [`Error`] if there is no connection in time.
-    pub async fn lease(&self, limit: Duration) -> Result<Lease, Error> {
+    pub async fn lease(&self, limit: Duration) -> Result<Lease<C>, Error> {
         let deadline = Instant::now() + limit;
         let permit = future::timeout(limit, self.shared.permits.acquire_arc()).await;
         let place = Place {
@@ -160,7 +195,7 @@
     }
 
     /// A connection and whether it was used before.
-    async fn open(&self, deadline: Instant) -> Result<(Known, bool), Error> {
+    async fn open(&self, deadline: Instant) -> Result<(Known<C>, bool), Error> {
         let settings = &self.shared.settings;
         let left = deadline.saturating_duration_since(Instant::now());
         let gate = future::timeout(left, self.shared.opening.acquire()).await;
@@ -171,15 +206,15 @@
         }
         let left = deadline.saturating_duration_since(Instant::now());
         let limit = left.min(settings.connect);
-        match client::open(self.shared.address, limit).await {
-            Ok(connection) => Ok(((connection.with_limit(settings.reply), None), false)),
+        match C::open(self.shared.address, settings, limit).await {
+            Ok(connection) => Ok(((connection, None), false)),
             Err(_) if left < settings.connect && Instant::now() >= deadline => Err(Error::Expired),
             Err(_) => Err(Error::Unreachable),
         }
     }
 
     /// The most recently used connection, so that surplus ones reach their idle limit.
-    fn take_idle(&self) -> Option<Known> {
+    fn take_idle(&self) -> Option<Known<C>> {
         let mut idle = self.shared.idle();
         self.drop_expired(&mut idle);
         while let Some(entry) = idle.pop_back() {
@@ -198,9 +233,9 @@
         idle.is_empty() && Arc::strong_count(&self.shared) == 1
     }
 
-    fn drop_expired(&self, idle: &mut VecDeque<Idle>) {
+    fn drop_expired(&self, idle: &mut VecDeque<Idle<C>>) {
         let limit = self.shared.settings.idle;
-        let expired = |entry: &Idle| entry.since.elapsed() > limit;
+        let expired = |entry: &Idle<C>| entry.since.elapsed() > limit;
         while idle.front().is_some_and(expired) {
             idle.pop_front();
         }
@@ -208,12 +243,12 @@
 }
 
 /// The right to one connection.
-struct Place {
-    shared: Arc<Shared>,
+struct Place<C> {
+    shared: Arc<Shared<C>>,
     permit: Option<SemaphoreGuardArc>,
 }
 
-impl Drop for Place {
+impl<C> Drop for Place<C> {
     fn drop(&mut self) {
         let mut size = self.shared.size();
         match self.permit.take() {
@@ -227,14 +262,24 @@
 }
 
 /// A connection in use. Dropping it closes the connection.
-pub struct Lease {
-    connection: client::Connection,
+pub struct Lease<C: Reusable = client::Connection> {
+    connection: C,
     process: Option<u64>,
     reused: bool,
-    place: Place,
+    place: Place<C>,
 }
 
-impl Lease {
+impl<C: Reusable> Lease<C> {
+    /// The connection.
+    pub const fn connection(&mut self) -> &mut C {
+        &mut self.connection
+    }
+
+    /// Whether the connection carried a request before.
+    pub const fn is_reused(&self) -> bool {
+        self.reused
+    }
+
     /// What the other side has said about its process on this connection.
     pub const fn process(&self) -> Option<u64> {
         self.process
@@ -245,6 +290,22 @@
         self.process = Some(process);
     }
 
+    /// Returns the connection to the pool.
+    pub fn keep(self) {
+        let shared = &self.place.shared;
+        let (connection, process) = (self.connection, self.process);
+        if connection.is_usable() && shared.size().surplus == 0 {
+            let since = Instant::now();
+            shared.idle().push_back(Idle {
+                connection,
+                process,
+                since,
+            });
+        }
+    }
+}
+
+impl Lease {
     /// Sends a request and reads the whole response within `limit`.
     ///
     /// # Errors
@@ -264,18 +325,4 @@
             _ => client::Error::Unreachable,
         })
     }
-
-    /// Returns the connection to the pool.
-    pub fn keep(self) {
-        let shared = &self.place.shared;
-        let (connection, process) = (self.connection, self.process);
-        if connection.is_usable() && shared.size().surplus == 0 {
-            let since = Instant::now();
-            shared.idle().push_back(Idle {
-                connection,
-                process,
-                since,
-            });
-        }
-    }
 }
--- a/crates/marigoldloom_limits/src/fingerprint.rs
+++ b/crates/marigoldloom_limits/src/fingerprint.rs
@@ -106,6 +106,11 @@
         }
     }
 
+    /// Strikes against `print`, of all instances.
+    pub fn struck(&self, now: time::WallTime, print: Fingerprint) -> u32 {
+        self.lock().sum(now, print).0
+    }
+
     /// Adds a strike of this instance and returns its strikes, to be sent to peers.
     pub fn strike(&self, now: time::WallTime, print: Fingerprint) -> Strikes {
         let mut inner = self.lock();
--- a/crates/marigoldloom_query/src/answer.rs
+++ b/crates/marigoldloom_query/src/answer.rs
@@ -120,7 +120,7 @@
 }
 
 /// One shard's part of an answer.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 #[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub struct Part {
@@ -128,6 +128,20 @@
     pub shard: u32,
     /// The upstream's body.
     pub body: Body,
+    /// Head of the upstream's response, for callers that get it unchanged.
+    #[serde(skip)]
+    pub head: Option<Box<message::Head>>,
+}
+
+impl Part {
+    /// The part that `reply` is.
+    pub fn new(shard: u32, reply: message::Reply) -> Self {
+        Self {
+            shard,
+            body: Body(reply.body),
+            head: reply.head,
+        }
+    }
 }
 
 /// An upstream's body: a JSON string if it is UTF-8, else an array of bytes.
--- a/crates/marigoldloom_query/src/attempt.rs
+++ b/crates/marigoldloom_query/src/attempt.rs
@@ -18,6 +18,11 @@
 pub(crate) struct Trace(AtomicU32);
 
 impl Trace {
+    /// Counts an attempt that is about to be sent.
+    pub(crate) fn begin(&self) {
+        self.0.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// Whether any attempt may have run.
     pub(crate) fn may_have_run(&self) -> bool {
         self.0.load(Ordering::Relaxed) > 0
@@ -25,8 +30,8 @@
 }
 
 /// A place on a replica that was reserved for an attempt. Dropping it gives the place back.
-pub(crate) struct Place<'a, R: Runtime, U, H: Hooks> {
-    pub(crate) core: &'a Core<R, U, H>,
+pub(crate) struct Place<R: Runtime, U, H: Hooks> {
+    pub(crate) core: Arc<Core<R, U, H>>,
     pub(crate) replica: Arc<topology::Replica>,
     pub(crate) purpose: hooks::Purpose,
     /// When the attempt must have ended; earlier than the query's on a cold replica.
@@ -50,18 +55,18 @@
     pub(crate) until: Timestamp,
 }
 
-impl<'a, R: Runtime, U: upstream::Upstream, H: Hooks> Place<'a, R, U, H> {
+impl<R: Runtime, U: upstream::Upstream, H: Hooks> Place<R, U, H> {
     /// Reserves the place; none if it was taken meanwhile.
     pub(crate) fn reserve(
-        core: &'a Core<R, U, H>,
+        core: &Arc<Core<R, U, H>>,
         choice: Choice,
         purpose: hooks::Purpose,
         patience: Duration,
     ) -> Option<Self> {
         let now = core.rt.now();
         let taken = choice.health.begin(now, &choice.view, choice.room);
-        taken.then_some(Self {
-            core,
+        taken.then(|| Self {
+            core: Arc::clone(core),
             replica: choice.replica,
             purpose,
             until: choice.until,
@@ -78,10 +83,9 @@
     pub(crate) async fn send(
         mut self,
         mut subquery: message::Subquery,
-        trace: &Trace,
+        trace: Arc<Trace>,
     ) -> Result<message::Reply, upstream::Error> {
         subquery.deadline = self.until;
-        trace.0.fetch_add(1, Ordering::Relaxed);
         let reply = self.core.upstream.send(&self.replica.target, &subquery);
         let reply = runtime::timeout_at(&self.core.rt, self.until, reply).await;
         let result = reply.unwrap_or(Err(upstream::Error::TimedOut));
@@ -100,11 +104,12 @@
             Ok(reply) => {
                 self.core.ramps.succeed(&self.replica.target.name);
                 let warmup = &self.core.settings.warmup;
-                self.health.succeed(now, latency, &reply.report, warmup)
+                self.health
+                    .succeed(now, self.started, &reply.report, warmup)
             }
             Err(error) => {
                 self.core.ramps.reset(&self.replica.target.name);
-                self.health.fail(now, self.until, error)
+                self.health.fail(now, self.started, self.until, error)
             }
         };
         self.report(&changes);
@@ -118,7 +123,7 @@
     }
 }
 
-impl<R: Runtime, U, H: Hooks> Place<'_, R, U, H> {
+impl<R: Runtime, U, H: Hooks> Place<R, U, H> {
     fn report(&self, changes: &[health::Change]) {
         for change in changes {
             self.core.changed(&self.replica.target.name, change);
@@ -126,12 +131,13 @@
     }
 }
 
-impl<R: Runtime, U, H: Hooks> Drop for Place<'_, R, U, H> {
+impl<R: Runtime, U, H: Hooks> Drop for Place<R, U, H> {
     fn drop(&mut self) {
         if self.open {
             let now = self.core.rt.now();
-            let elapsed = now.since(self.started);
-            let changes = self.health.abandon(now, elapsed, self.patience, self.until);
+            let changes = self
+                .health
+                .abandon(now, self.started, self.patience, self.until);
             self.report(changes.as_slice());
         }
     }
--- a/crates/marigoldloom_query/src/engine.rs
+++ b/crates/marigoldloom_query/src/engine.rs
@@ -40,6 +40,18 @@
     Always,
     /// Only if an upstream of the service crashed in the last 30 s.
     AfterCrash,
+    /// Only if the request itself was running when an upstream crashed.
+    AfterStrike,
+}
+
+/// What becomes of attempts whose shard got its part from another one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Losers {
+    /// They are cancelled, which closes their connections.
+    #[default]
+    Cancel,
+    /// They run to their end, which keeps their connections and measures their latency.
+    Finish,
 }
 
 /// Settings of an engine.
@@ -53,6 +65,10 @@
     pub warmup: health::Warmup,
     /// When an unknown request runs on one shard first.
     pub canary: Canary,
+    /// What becomes of attempts that are no longer needed.
+    pub losers: Losers,
+    /// How the instance learns that an upstream is in cold start.
+    pub cold_start: health::ColdStart,
 }
 
 impl Default for Settings {
@@ -62,6 +78,8 @@
             budget: budget::Limits::default(),
             warmup: health::Warmup::default(),
             canary: Canary::default(),
+            losers: Losers::default(),
+            cold_start: health::ColdStart::default(),
         }
     }
 }
@@ -224,7 +242,7 @@
         request: &request::Request,
         version: &mut Option<String>,
     ) -> Result<answer::Answer, Refusal> {
-        let trace = attempt::Trace::default();
+        let trace = Arc::new(attempt::Trace::default());
         let mut runs = 1;
         loop {
             let query = self.pin(request, None, runs == 1, &trace)?;
@@ -242,7 +260,7 @@
         key: &str,
         version: &mut Option<String>,
     ) -> Result<answer::Answer, Refusal> {
-        let trace = attempt::Trace::default();
+        let trace = Arc::new(attempt::Trace::default());
         let mut runs = 1;
         loop {
             let query = self.pin(request, Some(key), runs == 1, &trace)?;
@@ -264,7 +282,7 @@
         request: &'a request::Request,
         key: Option<&str>,
         fresh: bool,
-        trace: &'a attempt::Trace,
+        trace: &Arc<attempt::Trace>,
     ) -> Result<shard::Query<'a, R, U, H>, Refusal> {
         let topology = self.core.topology();
         let topology = topology.ok_or(Refusal::not_run(Kind::NotReady))?;
@@ -280,12 +298,13 @@
             core: &self.core,
             request,
             service: self.core.service(&request.service),
+            parts: view.parts().iter().map(|p| self.core.service(p)).collect(),
             snapshot: Arc::new(snapshot),
             total,
             print: request.fingerprint(),
             key: key.map(Arc::from),
             deadline: Timestamp::ZERO + request.deadline.since(Timestamp::ZERO + ANSWER_MARGIN),
-            trace,
+            trace: Arc::clone(trace),
             fresh,
             asked: AtomicU32::new(0),
             harmless: AtomicBool::new(false),
@@ -365,14 +384,19 @@
         loop {
             let place = self.place(shard, &mut tries).await?;
             match self.send(place, shard).await {
-                (_, Ok(reply)) => {
-                    let body = answer::Body(reply.body);
-                    return Ok(answer::Part { shard, body });
+                (_, Ok(reply)) => return Ok(answer::Part::new(shard, reply)),
+                (name, Err(error)) if error.not_run() => tries.note(&name, error),
+                (
+                    _,
+                    Err(upstream::Error::Failed {
+                        reply: Some(reply), ..
+                    }),
+                ) => {
+                    return Ok(answer::Part::new(shard, *reply));
                 }
-                (name, Err(error)) if error.not_run() => tries.note(&name, &error),
                 (_, Err(error)) => {
                     if error == upstream::Error::Lost {
-                        self.crashed();
+                        self.crashed(shard);
                     }
                     return Err(Reason::from(&error));
                 }
--- a/crates/marigoldloom_query/src/gather.rs
+++ b/crates/marigoldloom_query/src/gather.rs
@@ -1,12 +1,15 @@
 //! Scatter-gather over the shards of one snapshot.
 
+use std::pin;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use futures::future;
 use futures::stream::{FuturesUnordered, StreamExt};
 use marigoldloom_limits::fingerprint;
 use marigoldloom_runtime::runtime::{self, Runtime};
-use marigoldloom_upstream::upstream;
+use marigoldloom_runtime::time::Timestamp;
+use marigoldloom_upstream::{message, upstream};
 
 use crate::answer::{self, Reason};
 use crate::engine;
@@ -22,12 +25,9 @@
 }
 
 impl Gathered {
-    fn add(&mut self, shard: u32, result: Result<Vec<u8>, Reason>) {
+    fn add(&mut self, shard: u32, result: Result<message::Reply, Reason>) {
         match result {
-            Ok(body) => self.parts.push(answer::Part {
-                shard,
-                body: answer::Body(body),
-            }),
+            Ok(reply) => self.parts.push(answer::Part::new(shard, reply)),
             Err(reason) => self.missing.push(answer::Missing { shard, reason }),
         }
     }
@@ -51,7 +51,8 @@
         if let Some((shard, result)) = canary {
             // The other shards have probably left the snapshot too. Asking them would spend
             // the budget that the run on the newer snapshot needs.
-            if !last && result == Err(Reason::SnapshotGone) {
+            let gone = matches!(result, Err(Reason::SnapshotGone));
+            if !last && gone && self.request.policy.patient {
                 self.await_superseded(self.left() / 2).await;
                 if self.rerun() {
                     return Ok(None);
@@ -63,12 +64,13 @@
         let mut asked: FuturesUnordered<_> = shards
             .map(|s| async move { (s, self.ask(s).await) })
             .collect();
-        while let Some((shard, result)) = asked.next().await {
+        while let Some((shard, result)) = self.next(&mut asked, gathered.parts.len()).await {
             gathered.add(shard, result);
             if !last && gathered.outdated() && self.rerun() {
                 return Ok(None);
             }
         }
+        self.leave_out(&mut gathered);
         if !last && gathered.outdated() && self.await_newer(&gathered).await {
             return Ok(None);
         }
@@ -77,9 +79,52 @@
         Ok(Some(gathered))
     }
 
+    /// The next shard's result; none once all are in or the answer is due without the rest.
+    async fn next<F>(
+        &self,
+        asked: &mut FuturesUnordered<F>,
+        parts: usize,
+    ) -> Option<(u32, Result<message::Reply, Reason>)>
+    where
+        F: Future<Output = (u32, Result<message::Reply, Reason>)>,
+    {
+        let due = self.due(parts);
+        let due = due.map_or(Duration::MAX, |at| at.since(self.core.rt.now()));
+        match due {
+            Duration::MAX => asked.next().await,
+            due => {
+                let sleep = pin::pin!(self.core.rt.sleep(due));
+                match future::select(asked.next(), sleep).await {
+                    future::Either::Left((next, _)) => next,
+                    future::Either::Right(_) => None,
+                }
+            }
+        }
+    }
+
+    /// When the answer is due with only so many `parts`; none if it needs more.
+    fn due(&self, parts: usize) -> Option<Timestamp> {
+        let timely = self.request.policy.timely?;
+        let least = usize::try_from(timely.least).unwrap_or(usize::MAX);
+        (parts >= least.max(1)).then_some(timely.at)
+    }
+
+    /// Names the shards that the answer is given without.
+    fn leave_out(&self, gathered: &mut Gathered) {
+        let known = |g: &Gathered, shard: u32| {
+            g.parts.iter().any(|p| p.shard == shard) || g.missing.iter().any(|m| m.shard == shard)
+        };
+        for shard in 0..self.total {
+            if !known(gathered, shard) {
+                let reason = Reason::TimedOut;
+                gathered.missing.push(answer::Missing { shard, reason });
+            }
+        }
+    }
+
     /// Waits for a newer snapshot while there is nothing to answer with.
     async fn await_newer(&self, gathered: &Gathered) -> bool {
-        if gathered.parts.is_empty() {
+        if gathered.parts.is_empty() && self.request.policy.patient {
             self.await_superseded(self.left()).await;
         }
         self.rerun()
@@ -112,7 +157,7 @@
 
     /// Runs an unknown request on one shard first where the settings ask for it, so that a
     /// request that crashes its upstreams takes down one and not one of each shard.
-    async fn canary(&self) -> Result<Option<(u32, Result<Vec<u8>, Reason>)>, Refusal> {
+    async fn canary(&self) -> Result<Option<(u32, Result<message::Reply, Reason>)>, Refusal> {
         loop {
             if self.check_strikes()? || !self.cautious() {
                 return Ok(None);
@@ -147,15 +192,21 @@
         match self.core.settings.canary {
             engine::Canary::Always => true,
             engine::Canary::AfterCrash => self.service.crashed(self.core.rt.now()),
+            engine::Canary::AfterStrike => self.suspect(),
         }
     }
 
+    /// Whether an upstream crashed while it ran this very request.
+    pub(crate) fn suspect(&self) -> bool {
+        self.core.ledger.struck(self.core.rt.wall(), self.print) > 0
+    }
+
     /// Runs the request on one shard, and after a lost connection once on another one.
-    async fn run_canary(&self) -> Result<(u32, Result<Vec<u8>, Reason>), Refusal> {
+    async fn run_canary(&self) -> Result<(u32, Result<message::Reply, Reason>), Refusal> {
         let drawn = runtime::random_below(&self.core.rt, u64::from(self.total));
         let mut shard = self.spare_shard(u32::try_from(drawn).unwrap_or(0));
         let mut result = self.ask(shard).await;
-        if result == Err(Reason::Lost) && self.may_repeat() {
+        if matches!(result, Err(Reason::Lost)) && self.may_repeat() {
             shard = self.spare_shard(shard.wrapping_add(1));
             result = self.ask(shard).await;
         }
--- a/crates/marigoldloom_query/src/request.rs
+++ b/crates/marigoldloom_query/src/request.rs
@@ -4,10 +4,41 @@
 
 use marigoldloom_limits::fingerprint;
 use marigoldloom_records::class;
-use marigoldloom_runtime::time;
+use marigoldloom_runtime::{scope, time};
 use marigoldloom_upstream::message;
 use xxhash_rust::xxh3;
 
+/// An answer that lacks shards is given at this moment rather than a complete one later.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Timely {
+    /// When the answer is worth less from.
+    pub at: time::Timestamp,
+    /// Least number of shards in such an answer.
+    pub least: u32,
+}
+
+/// What the engine may do for a request, beside what holds for its service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Policy {
+    /// Most upstreams that may run one shard's part, hedges included.
+    pub attempts: u32,
+    /// When to answer without the last shards; none to wait for them until the deadline.
+    pub timely: Option<Timely>,
+    /// Whether the request waits for a newer snapshot and for the budget of a retry. Otherwise
+    /// it ends as soon as nothing more can be sent.
+    pub patient: bool,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Self {
+            attempts: u32::MAX,
+            timely: None,
+            patient: true,
+        }
+    }
+}
+
 /// One request, as admitted.
 #[derive(Clone, Debug)]
 pub struct Request {
@@ -25,12 +56,22 @@
     pub deadline: time::Timestamp,
     /// The caller's body.
     pub body: Arc<[u8]>,
+    /// The caller's HTTP request, for upstreams that take it unchanged.
+    pub call: Option<Arc<message::Call>>,
+    /// What the engine may do for it.
+    pub policy: Policy,
+    /// Cancels what still runs for the request once its caller has left.
+    pub scope: scope::Scope,
 }
 
 impl Request {
     /// The request's crash fingerprint.
     pub fn fingerprint(&self) -> fingerprint::Fingerprint {
-        fingerprint::Fingerprint::new(&self.service, &self.route, &self.body)
+        let target = self
+            .call
+            .as_ref()
+            .map_or(&*self.route, |c| c.target.as_str());
+        fingerprint::Fingerprint::new(&self.service, target, &self.body)
     }
 
     /// Hash of the request id, by which a version move splits traffic.
--- a/crates/marigoldloom_query/src/state.rs
+++ b/crates/marigoldloom_query/src/state.rs
@@ -63,7 +63,10 @@
             upstream,
             hooks,
             settings,
-            health: health::Table::new(),
+            health: health::Table::new(health::Observation {
+                cold_start: settings.cold_start,
+                ages: settings.losers == engine::Losers::Finish,
+            }),
             ramps: cold::Ramps::new(),
             ledger: Arc::default(),
             vouched: Mutex::default(),
--- a/crates/marigoldloom_query/tests/support/tier.rs
+++ b/crates/marigoldloom_query/tests/support/tier.rs
@@ -13,6 +13,7 @@
 use marigoldloom_records::{class, failure_domain};
 use marigoldloom_routing::{health, topology};
 use marigoldloom_runtime::runtime::{self, Runtime};
+use marigoldloom_runtime::scope;
 use marigoldloom_runtime::time::Timestamp;
 use marigoldloom_testkit::fake_fleet;
 use marigoldloom_upstream::{message, upstream};
@@ -335,6 +336,9 @@
             route: Arc::from("find"),
             deadline: self.rt.now() + time,
             body: Arc::from(id.as_bytes()),
+            call: None,
+            policy: request::Policy::default(),
+            scope: scope::Scope::new(),
         }
     }
 
--- a/crates/marigoldloom_routing/src/choice.rs
+++ b/crates/marigoldloom_routing/src/choice.rs
@@ -11,6 +11,10 @@
 /// Factor on the score of replicas in other failure domains.
 const REMOTE_FACTOR: f64 = 2.0;
 
+/// Weight of the share of failures in the score: a replica that fails half of its requests
+/// costs a retry on each of them, which takes several times its latency.
+const FAILING_FACTOR: f64 = 8.0;
+
 /// Requests in flight per slot, over all instances, up to which a warm replica takes more.
 /// They include those on their way: at 20 ms one way and a service time of 20 ms a replica is
 /// only busy with three in flight per slot. The score prefers the own failure domain and
@@ -75,7 +79,9 @@
     }
 
     fn score(&self, own: &str) -> f64 {
-        let latency = self.view.latency.max(LATENCY_FLOOR).as_secs_f64();
+        // A request that is out for longer than the estimate shows a pause before any reply does.
+        let latency = self.view.latency.max(self.view.oldest);
+        let latency = latency.max(LATENCY_FLOOR).as_secs_f64();
         let slots = f64::from(self.replica.slots.max(1));
         let queue = 1.0 + f64::from(self.view.in_flight) / slots;
         // A false report changes the score by at most a factor of 2.
@@ -84,7 +90,8 @@
             true => 1.0,
             false => REMOTE_FACTOR,
         };
-        latency * queue.powi(3) * hint * distance
+        let failing = 1.0 + FAILING_FACTOR * self.view.failing;
+        latency * queue.powi(3) * hint * distance * failing
     }
 }
 
--- a/crates/marigoldloom_routing/src/health.rs
+++ b/crates/marigoldloom_routing/src/health.rs
@@ -54,6 +54,26 @@
     }
 }
 
+/// How an instance learns that an upstream is in cold start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ColdStart {
+    /// It is assumed after each sign of a new process, until replies show otherwise.
+    #[default]
+    Assumed,
+    /// Upstreams announce it; nothing is assumed.
+    Announced,
+}
+
+/// What an instance observes of its upstreams.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Observation {
+    /// How it learns that an upstream is in cold start.
+    pub cold_start: ColdStart,
+    /// Whether it looks at the age of running requests. Needless where requests that lost a
+    /// race are abandoned, because each of them counts as a slow reply.
+    pub ages: bool,
+}
+
 /// Whether an upstream takes work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Standing {
@@ -133,6 +153,10 @@
     pub in_flight: u32,
     /// Estimated latency; zero if unknown.
     pub latency: Duration,
+    /// Age of the oldest own request that runs; zero without any, or if ages aren't observed.
+    pub oldest: Duration,
+    /// Share of recent replies that were failures, between 0 and 1.
+    pub failing: f64,
     /// Whether it takes work.
     pub standing: Standing,
     /// Whether it is in cold start; it may be ejected besides.
@@ -156,10 +180,12 @@
 
 #[derive(Debug)]
 struct Inner {
-    running: u32,
+    observation: Observation,
+    running: Vec<Timestamp>,
     held: Vec<Timestamp>,
     latency: f64,
     sampled: Timestamp,
+    failing: f64,
     failures: u32,
     ejections: u32,
     ejected: Option<Timestamp>,
@@ -180,21 +206,26 @@
 }
 
 impl Health {
-    /// Creates the health of an upstream that is seen for the first time: it counts as cold.
-    pub fn new(now: Timestamp) -> Self {
+    /// Creates the health of an upstream that is seen for the first time. It counts as cold
+    /// unless upstreams announce their cold start.
+    pub fn new(now: Timestamp, observation: Observation) -> Self {
+        let cold_start = observation.cold_start;
+        let fresh = Cold {
+            since: now,
+            successes: 0,
+        };
         let inner = Inner {
-            running: 0,
+            observation,
+            running: Vec::new(),
             held: Vec::new(),
             latency: 0.0,
             sampled: now,
+            failing: 0.0,
             failures: 0,
             ejections: 0,
             ejected: None,
             probing: false,
-            cold: Some(Cold {
-                since: now,
-                successes: 0,
-            }),
+            cold: (cold_start == ColdStart::Assumed).then_some(fresh),
             start: None,
             doubted: None,
             heard: None,
@@ -221,10 +252,12 @@
         self.freed.listen()
     }
 
-    /// Ends a request: its place is free, and the first waiter hears of it.
-    fn end(&self) -> MutexGuard<'_, Inner> {
+    /// Ends the request that was sent at `sent`: its place is free, and the first waiter hears of it.
+    fn end(&self, sent: Timestamp) -> MutexGuard<'_, Inner> {
         let mut inner = self.lock();
-        inner.running = inner.running.saturating_sub(1);
+        if let Some(index) = inner.running.iter().position(|at| *at == sent) {
+            inner.running.swap_remove(index);
+        }
         inner.probing = false;
         self.freed.notify(1);
         inner
@@ -241,21 +274,22 @@
         if !same || view.in_flight >= room {
             return false;
         }
-        inner.running += 1;
+        inner.running.push(now);
         inner.probing |= inner.ejected.is_some();
         true
     }
 
-    /// Counts a reply. Returns the changes of standing, if any.
+    /// Counts a reply to the request that was sent at `sent`. Returns the changes of standing, if any.
     pub fn succeed(
         &self,
         now: Timestamp,
-        latency: Duration,
+        sent: Timestamp,
         report: &message::Report,
         warmup: &Warmup,
     ) -> Vec<Change> {
-        let mut inner = self.end();
-        inner.sample(now, latency.as_nanos() as f64);
+        let mut inner = self.end(sent);
+        inner.sample(now, now.since(sent).as_nanos() as f64);
+        inner.failing *= 1.0 - SAMPLE_WEIGHT;
         inner.failures = 0;
         inner.ejections = 0;
         let readmitted = inner.ejected.take().map(|_| Change::Readmitted);
@@ -267,14 +301,17 @@
             .collect()
     }
 
-    /// Counts a failure. A subquery that may still run keeps its place until `deadline`.
+    /// Counts a failure of the request that was sent at `sent`. A subquery that may still run
+    /// keeps its place until `deadline`.
     pub fn fail(
         &self,
         now: Timestamp,
+        sent: Timestamp,
         deadline: Timestamp,
         error: &upstream::Error,
     ) -> Vec<Change> {
-        let mut inner = self.end();
+        let mut inner = self.end(sent);
+        inner.failing += (1.0 - inner.failing) * SAMPLE_WEIGHT;
         let heard = error.report().and_then(|r| inner.hear(now, &r));
         let may_run = !error.not_run() && !matches!(error, upstream::Error::Failed { .. });
         let (ejected, chilled) = match error {
@@ -292,19 +329,19 @@
         [heard, ejected, chilled].into_iter().flatten().collect()
     }
 
-    /// Counts a request that was abandoned. It may still run until `deadline`. If it took
+    /// Counts a request, sent at `sent`, that was abandoned. It may still run until `deadline`. If it took
     /// longer than `patience`, it counts as a slow reply and towards ejection, because an
     /// upstream that loses every race would otherwise never be measured.
     pub fn abandon(
         &self,
         now: Timestamp,
-        elapsed: Duration,
+        sent: Timestamp,
         patience: Duration,
         deadline: Timestamp,
     ) -> Option<Change> {
-        let mut inner = self.end();
+        let mut inner = self.end(sent);
         inner.hold(now, deadline);
-        match elapsed {
+        match now.since(sent) {
             e if e >= patience => {
                 let slow = (e.as_nanos() as f64).max(inner.estimate(now));
                 inner.sample(now, slow);
@@ -356,8 +393,12 @@
         self.held.retain(|until| *until > now);
         let held = u32::try_from(self.held.len()).unwrap_or(u32::MAX);
         View {
-            in_flight: self.running.saturating_add(held),
+            in_flight: u32::try_from(self.running.len())
+                .unwrap_or(u32::MAX)
+                .saturating_add(held),
             latency: Duration::from_nanos(self.estimate(now) as u64),
+            oldest: self.oldest(now),
+            failing: self.failing,
             standing: self.standing(now),
             cold: self.cold.is_some(),
             shedding: self.shed > now,
@@ -384,6 +425,11 @@
         }
     }
 
+    fn oldest(&self, now: Timestamp) -> Duration {
+        let first = self.running.iter().min().filter(|_| self.observation.ages);
+        first.map_or(Duration::ZERO, |sent| now.since(*sent))
+    }
+
     fn estimate(&self, now: Timestamp) -> f64 {
         let idle = now.since(self.sampled).as_secs_f64() / HALF_LIFE.as_secs_f64();
         self.latency * 0.5_f64.powf(idle)
@@ -445,6 +491,10 @@
     }
 
     fn chill(&mut self, now: Timestamp, cause: ColdCause) -> Option<Change> {
+        let announced = self.observation.cold_start == ColdStart::Announced;
+        if announced && cause != ColdCause::Reported {
+            return None;
+        }
         let fresh = self.cold.is_none();
         if cause != ColdCause::Restarted {
             self.doubted = self.start;
@@ -496,6 +546,7 @@
 /// Health of all upstreams.
 #[derive(Debug, Default)]
 pub struct Table {
+    observation: Observation,
     entries: RwLock<BTreeMap<Arc<str>, Entry>>,
 }
 
@@ -506,9 +557,12 @@
 }
 
 impl Table {
-    /// Creates an empty table.
-    pub fn new() -> Self {
-        Self::default()
+    /// Creates an empty table of upstreams that are observed as `observation` says.
+    pub fn new(observation: Observation) -> Self {
+        Self {
+            observation,
+            entries: RwLock::default(),
+        }
     }
 
     /// Follows a new topology: new upstreams and those whose failure domain returned count
@@ -524,8 +578,12 @@
         let mut chilled = Vec::new();
         let services = topology.services().values();
         for (name, replica) in services.flat_map(|s| s.upstreams()) {
+            // An upstream may serve several services.
+            if next.contains_key(name) {
+                continue;
+            }
             let old = entries.remove(name);
-            let (entry, cause) = follow_one(now, old, replica);
+            let (entry, cause) = follow_one(now, old, replica, self.observation);
             chilled.extend(cause.map(|c| (Arc::clone(name), c)));
             next.insert(Arc::clone(name), entry);
         }
@@ -544,11 +602,15 @@
     now: Timestamp,
     old: Option<Entry>,
     replica: &Arc<topology::Replica>,
+    observation: Observation,
 ) -> (Entry, Option<ColdCause>) {
     let replica = Arc::clone(replica);
     let known = old.filter(|e| e.replica.target == replica.target);
     let (health, cause) = match known {
-        None => (Arc::new(Health::new(now)), Some(ColdCause::FirstSeen)),
+        None => (
+            Arc::new(Health::new(now, observation)),
+            Some(ColdCause::FirstSeen),
+        ),
         Some(entry) if replica.usable && !entry.replica.usable => {
             entry.health.chill(now, ColdCause::DomainReturned);
             (entry.health, Some(ColdCause::DomainReturned))
--- a/crates/marigoldloom_routing/src/topology.rs
+++ b/crates/marigoldloom_routing/src/topology.rs
@@ -66,9 +66,48 @@
     pub record: service::Service,
     snapshots: BTreeMap<service::Snapshot, Shards>,
     upstreams: BTreeMap<Arc<str>, Arc<Replica>>,
+    parts: Vec<Arc<str>>,
+}
+
+/// A replicated service that serves one shard of a composed service.
+#[derive(Clone, Debug, Default)]
+pub struct Part {
+    /// Name of the replicated service.
+    pub service: Arc<str>,
+    /// Its replicas.
+    pub replicas: Vec<Arc<Replica>>,
 }
 
 impl ServiceView {
+    /// A service whose shard `i` is the replicated service `parts[i]`. All versions of the
+    /// record read the same shards.
+    pub fn composed(record: service::Service, parts: Vec<Part>) -> Self {
+        let all = parts.iter().flat_map(|p| &p.replicas);
+        let upstreams = all.map(|r| (Arc::clone(&r.target.name), Arc::clone(r)));
+        let upstreams = upstreams.collect();
+        let usable = |part: &Part| {
+            let replicas = part.replicas.iter().filter(|r| r.usable);
+            replicas.cloned().collect()
+        };
+        let shards = Shards {
+            replicas: parts.iter().map(usable).collect(),
+        };
+        let snapshots = record.versions.keys().filter_map(|v| record.snapshot(v));
+        let snapshots = snapshots.map(|s| (s, shards.clone())).collect();
+        Self {
+            record,
+            snapshots,
+            upstreams,
+            parts: parts.into_iter().map(|p| p.service).collect(),
+        }
+    }
+
+    /// Names of the replicated services that a composed service consists of, by shard;
+    /// empty for other services.
+    pub fn parts(&self) -> &[Arc<str>] {
+        &self.parts
+    }
+
     /// The snapshot that new queries of `version` read.
     ///
     /// That is the record's epoch. While a shard of it has no replica yet, for example
@@ -105,6 +144,11 @@
 }
 
 impl Topology {
+    /// The view of an instance in the failure domain `own` on `services`.
+    pub fn new(own: Arc<str>, services: BTreeMap<Arc<str>, Arc<ServiceView>>) -> Self {
+        Self { own, services }
+    }
+
     /// The failure domain of this instance.
     pub fn own(&self) -> &str {
         &self.own
@@ -267,6 +311,7 @@
             record,
             snapshots,
             upstreams,
+            parts: Vec::new(),
         })
     }
 
--- a/crates/marigoldloom_routing/tests/choice.rs
+++ b/crates/marigoldloom_routing/tests/choice.rs
@@ -107,6 +107,8 @@
             let candidate = Candidate {
                 replica: &replica,
                 view: View {
+                    oldest: Duration::ZERO,
+                    failing: 0.0,
                     start: None,
                     in_flight,
                     latency: Duration::from_millis(20),
@@ -133,6 +135,8 @@
     let candidate = |standing| Candidate {
         replica: &replica,
         view: View {
+            oldest: Duration::ZERO,
+            failing: 0.0,
             start: None,
             in_flight: 0,
             latency: Duration::from_millis(20),
--- a/crates/marigoldloom_runtime/src/lib.rs
+++ b/crates/marigoldloom_runtime/src/lib.rs
@@ -5,4 +5,5 @@
 
 pub mod async_std_runtime;
 pub mod runtime;
+pub mod scope;
 pub mod time;
--- a/crates/marigoldloom_standin/tests/upstream.rs
+++ b/crates/marigoldloom_standin/tests/upstream.rs
@@ -70,6 +70,7 @@
             }),
             deadline: self.rt.now() + DEADLINE,
             body: text.as_bytes().into(),
+            call: None,
             key: None,
             start: None,
         }
--- a/crates/marigoldloom_testkit/src/fake_fleet.rs
+++ b/crates/marigoldloom_testkit/src/fake_fleet.rs
@@ -495,6 +495,7 @@
 
     fn reply(&self, name: &str, subquery: &message::Subquery) -> message::Reply {
         message::Reply {
+            head: None,
             body: answer_body(subquery.shard, &subquery.snapshot, &subquery.body),
             report: self.report(name),
         }
--- a/crates/marigoldloom_upstream/src/message.rs
+++ b/crates/marigoldloom_upstream/src/message.rs
@@ -20,6 +20,26 @@
 #[display("{_0:032x}")]
 pub struct SubqueryId(pub u128);
 
+/// A caller's HTTP request that upstreams take unchanged.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// Method.
+    pub method: http::Method,
+    /// Path and query, byte for byte.
+    pub target: http::uri::PathAndQuery,
+    /// End-to-end headers.
+    pub headers: http::HeaderMap,
+}
+
+/// Status and end-to-end headers of an upstream's HTTP response.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Head {
+    /// Status.
+    pub status: http::StatusCode,
+    /// End-to-end headers.
+    pub headers: http::HeaderMap,
+}
+
 /// One attempt at one shard's part of a request.
 #[derive(Clone, Debug)]
 pub struct Subquery {
@@ -39,6 +59,8 @@
     pub deadline: time::Timestamp,
     /// The caller's body.
     pub body: Arc<[u8]>,
+    /// The caller's HTTP request, for upstreams that take it unchanged.
+    pub call: Option<Arc<Call>>,
     /// The caller's idempotency key, where the route isn't idempotent. The upstream
     /// need not know it; it allows to check that the subquery ran at most once.
     pub key: Option<Arc<str>>,
@@ -53,6 +75,8 @@
 pub struct Reply {
     /// The shard's part of the answer.
     pub body: Vec<u8>,
+    /// Head of the response, for callers that get it unchanged.
+    pub head: Option<Box<Head>>,
     /// The upstream's report about itself; it lags and may mislead.
     pub report: Report,
 }
--- a/crates/marigoldloom_upstream/src/protocol.rs
+++ b/crates/marigoldloom_upstream/src/protocol.rs
@@ -161,6 +161,7 @@
         (Echo::Other, _) | (Echo::Absent, StatusCode::Ok) => Err(upstream::Error::Mismatch),
         (Echo::Same, StatusCode::Ok) => Ok(message::Reply {
             body: response.body,
+            head: None,
             report: report.unwrap_or_default(),
         }),
         (Echo::Same, StatusCode::GatewayTimeout) if !says_not_run(&response) => {
@@ -178,6 +179,7 @@
     upstream::Error::Failed {
         status: status.into(),
         report,
+        reply: None,
     }
 }
 
--- a/crates/marigoldloom_upstream/src/upstream.rs
+++ b/crates/marigoldloom_upstream/src/upstream.rs
@@ -38,6 +38,8 @@
         status: u16,
         /// The upstream's report, where it sent one.
         report: Option<message::Report>,
+        /// The complete response, where callers get it unchanged.
+        reply: Option<Box<message::Reply>>,
     },
     /// The connection ended after bytes were sent; it may have run.
     #[display("the connection ended before the answer came")]
--- a/crates/marigoldloom_upstream/tests/client.rs
+++ b/crates/marigoldloom_upstream/tests/client.rs
@@ -131,6 +131,7 @@
             }),
             deadline: self.rt.now() + DEADLINE,
             body: body.as_bytes().into(),
+            call: None,
             key: Some("k1".into()),
             start: None,
         }
