Eject an upstream whose address another one has; send only probes to silent upstreams

Change: Refusal::Misdirected ejects the upstream at once. An upstream that owes an answer for 400 ms and has sent none since gets one request per 500 ms.

--- a/crates/marigoldloom_daemon/tests/version_moves.rs
+++ b/crates/marigoldloom_daemon/tests/version_moves.rs
@@ -87,7 +87,7 @@
         start: None,
         in_flight: 0,
         latency: Duration::ZERO,
-        oldest: Duration::ZERO,
+        waiting: Duration::ZERO,
         failing: 0.0,
         standing,
         cold: standing == Standing::Cold,
--- a/crates/marigoldloom_front/src/client.rs
+++ b/crates/marigoldloom_front/src/client.rs
@@ -251,7 +251,7 @@
         reply,
     };
     match status {
-        _ if mark.misdirected => Err(refused(Refusal::Restarted)),
+        _ if mark.misdirected => Err(refused(Refusal::Misdirected)),
         _ if mark.refused => Err(Error::Refused {
             refusal: Refusal::Shed,
             report: Some(mark.report),
--- a/crates/marigoldloom_routing/src/choice.rs
+++ b/crates/marigoldloom_routing/src/choice.rs
@@ -54,6 +54,7 @@
             // Only used while all replicas of a shard are ejected. One that answered a moment
             // ago is overloaded, not lost, and the shard would miss from most answers.
             health::Standing::Ejected if self.view.confirmed => warm,
+            health::Standing::Probe if !self.view.waiting.is_zero() => self.view.in_flight + 1,
             health::Standing::Probe | health::Standing::Ejected => 1,
             // A restart that nobody noticed leaves a cold upstream.
             health::Standing::Ready if !self.view.confirmed => warm.min(self.replica.cold_slots),
@@ -79,8 +80,8 @@
     }
 
     fn score(&self, own: &str) -> f64 {
-        // A request that is out for longer than the estimate shows a pause before any reply does.
-        let latency = self.view.latency.max(self.view.oldest);
+        // An answer that is owed for longer than the estimate shows a pause before any reply does.
+        let latency = self.view.latency.max(self.view.waiting);
         let latency = latency.max(LATENCY_FLOOR).as_secs_f64();
         let slots = f64::from(self.replica.slots.max(1));
         let queue = 1.0 + f64::from(self.view.in_flight) / slots;
--- a/crates/marigoldloom_routing/src/health.rs
+++ b/crates/marigoldloom_routing/src/health.rs
@@ -36,6 +36,13 @@
 /// have restarted unnoticed.
 const RESTART_LEAST: Duration = Duration::from_millis(100);
 
+/// Time without any reply after which an upstream that owes one counts as silent. Upstreams
+/// that stand still for a moment do so for 250 ms.
+const SILENCE: Duration = Duration::from_millis(400);
+
+/// Least time between two requests to a silent upstream.
+const SILENT_PROBE: Duration = Duration::from_millis(500);
+
 /// When a cold upstream counts as warm.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Warmup {
@@ -81,9 +88,9 @@
     Ready,
     /// In cold start.
     Cold,
-    /// Ejected, and one request may probe it now.
+    /// Ejected or silent, and one request may probe it now.
     Probe,
-    /// Ejected.
+    /// Ejected or silent.
     Ejected,
 }
 
@@ -153,8 +160,9 @@
     pub in_flight: u32,
     /// Estimated latency; zero if unknown.
     pub latency: Duration,
-    /// Age of the oldest own request that runs; zero without any, or if ages aren't observed.
-    pub oldest: Duration,
+    /// For how long the upstream has answered nothing although it owes an answer; zero if ages
+    /// aren't observed.
+    pub waiting: Duration,
     /// Share of recent replies that were failures, between 0 and 1.
     pub failing: f64,
     /// Whether it takes work.
@@ -312,6 +320,9 @@
     ) -> Vec<Change> {
         let mut inner = self.end(sent);
         inner.failing += (1.0 - inner.failing) * SAMPLE_WEIGHT;
+        if error.answered() {
+            inner.heard = Some(now);
+        }
         let heard = error.report().and_then(|r| inner.hear(now, &r));
         let may_run = !error.not_run() && !matches!(error, upstream::Error::Failed { .. });
         let (ejected, chilled) = match error {
@@ -397,7 +408,7 @@
                 .unwrap_or(u32::MAX)
                 .saturating_add(held),
             latency: Duration::from_nanos(self.estimate(now) as u64),
-            oldest: self.oldest(now),
+            waiting: self.waiting(now),
             failing: self.failing,
             standing: self.standing(now),
             cold: self.cold.is_some(),
@@ -419,15 +430,28 @@
     fn standing(&self, now: Timestamp) -> Standing {
         match (self.ejected, self.cold) {
             (Some(until), _) if until > now || self.probing => Standing::Ejected,
+            _ if self.waiting(now) >= SILENCE => self.silent(now),
             (_, Some(_)) => Standing::Cold,
             (Some(_), None) => Standing::Probe,
             (None, None) => Standing::Ready,
         }
     }
 
-    fn oldest(&self, now: Timestamp) -> Duration {
-        let first = self.running.iter().min().filter(|_| self.observation.ages);
-        first.map_or(Duration::ZERO, |sent| now.since(*sent))
+    /// An answer that was lost while later ones came says nothing.
+    fn waiting(&self, now: Timestamp) -> Duration {
+        let heard = self.heard.unwrap_or(Timestamp::ZERO);
+        let owed = self.running.iter().filter(|sent| **sent > heard).min();
+        let owed = owed.filter(|_| self.observation.ages);
+        owed.map_or(Duration::ZERO, |sent| now.since(*sent))
+    }
+
+    /// How an upstream stands that is silent.
+    fn silent(&self, now: Timestamp) -> Standing {
+        let latest = self.running.iter().max();
+        match latest.is_none_or(|sent| now.since(*sent) >= SILENT_PROBE) {
+            true => Standing::Probe,
+            false => Standing::Ejected,
+        }
     }
 
     fn estimate(&self, now: Timestamp) -> f64 {
@@ -509,7 +533,9 @@
     fn refused(&mut self, now: Timestamp, refusal: upstream::Refusal) -> Option<Change> {
         match refusal {
             upstream::Refusal::Shed => self.shed = now + SHED_PAUSE,
-            upstream::Refusal::Draining => return Some(self.eject(now)),
+            upstream::Refusal::Draining | upstream::Refusal::Misdirected => {
+                return Some(self.eject(now));
+            }
             upstream::Refusal::SnapshotGone
             | upstream::Refusal::ShardGone
             | upstream::Refusal::Expired
--- a/crates/marigoldloom_routing/tests/choice.rs
+++ b/crates/marigoldloom_routing/tests/choice.rs
@@ -107,7 +107,7 @@
             let candidate = Candidate {
                 replica: &replica,
                 view: View {
-                    oldest: Duration::ZERO,
+                    waiting: Duration::ZERO,
                     failing: 0.0,
                     start: None,
                     in_flight,
@@ -135,7 +135,7 @@
     let candidate = |standing| Candidate {
         replica: &replica,
         view: View {
-            oldest: Duration::ZERO,
+            waiting: Duration::ZERO,
             failing: 0.0,
             start: None,
             in_flight: 0,
--- a/crates/marigoldloom_upstream/src/upstream.rs
+++ b/crates/marigoldloom_upstream/src/upstream.rs
@@ -71,6 +71,9 @@
     /// The deadline passed before the subquery was sent, or had passed on arrival.
     #[display("deadline passed")]
     Expired,
+    /// Another upstream has the address now.
+    #[display("another upstream has the address")]
+    Misdirected,
     /// The process that the subquery is meant for is gone; found out before it was sent.
     #[display("another process runs there")]
     Restarted,
@@ -82,6 +85,18 @@
         matches!(self, Self::Unreachable | Self::Refused { .. })
     }
 
+    /// Whether the upstream sent an answer.
+    pub const fn answered(&self) -> bool {
+        matches!(
+            self,
+            Self::Refused {
+                report: Some(_),
+                ..
+            } | Self::Failed { .. }
+                | Self::Mismatch
+        )
+    }
+
     /// The upstream's report, where the failure carries one.
     pub const fn report(&self) -> Option<message::Report> {
         match self {
