--- a/crates/marigoldloom_front/src/decisions.rs
+++ b/crates/marigoldloom_front/src/decisions.rs
@@ -12,6 +12,7 @@
             return;
         };
         tracing::info!(
+            request = attempt.request,
             upstream = attempt.upstream,
             service = attempt.service,
             purpose = purpose(attempt.purpose),
--- a/crates/marigoldloom_front/src/front.rs
+++ b/crates/marigoldloom_front/src/front.rs
@@ -19,7 +19,7 @@
 use marigoldloom_records::class::Class;
 use marigoldloom_runtime::runtime::Runtime;
 use marigoldloom_runtime::scope::Scope;
-use marigoldloom_runtime::time::Timestamp;
+use marigoldloom_runtime::time::{self, Timestamp};
 use marigoldloom_upstream::message::{Call, RequestId};
 use marigoldloom_upstream::upstream::Upstream;
 use xxhash_rust::xxh3;
@@ -162,10 +162,13 @@
         };
         guard.finish();
         match result {
-            Ok(answer) => match answer.results.into_iter().next() {
-                Some(part) => unchanged(part),
-                None => self.refuse(arrival, &Refusal::not_run(Kind::Unavailable)),
-            },
+            Ok(answer) => {
+                self.explain(arrival, &answer);
+                match answer.results.into_iter().next() {
+                    Some(part) => unchanged(part),
+                    None => self.refuse(arrival, &Refusal::not_run(Kind::Unavailable)),
+                }
+            }
             Err(refusal) => self.refuse(arrival, &refusal),
         }
     }
@@ -183,7 +186,10 @@
         let result = self.shared.engine.run(&query).await;
         guard.finish();
         match result {
-            Ok(answer) if answer.results.len() >= scatter.quorum() => self.merged(&answer, scatter),
+            Ok(answer) if answer.results.len() >= scatter.quorum() => {
+                self.explain(arrival, &answer);
+                self.merged(&answer, scatter)
+            }
             Ok(answer) => {
                 let reason = answer.coverage.missing.first().map(|m| m.reason);
                 let refusal = Refusal::not_run(Kind::Unavailable);
@@ -237,12 +243,36 @@
         response
     }
 
+    /// Logs an answer that is late or lacks shards.
+    fn explain(&self, arrival: &Arrival, answer: &Answer) {
+        let elapsed = self.shared.rt.now().since(arrival.at);
+        let coverage = &answer.coverage;
+        if coverage.full() && elapsed <= arrival.route.objective {
+            return;
+        }
+        let missing: Vec<_> = coverage
+            .missing
+            .iter()
+            .map(|m| format!("{}: {}", m.shard, m.reason))
+            .collect();
+        tracing::info!(
+            request = arrival.caller.id.as_deref(),
+            route = %arrival.route.name,
+            elapsed_ms = time::millis(elapsed),
+            objective_ms = time::millis(arrival.route.objective),
+            shards = coverage.total,
+            missing = missing.join(", "),
+            "late or partial answer"
+        );
+    }
+
     fn refuse(&self, arrival: &Arrival, refusal: &Refusal) -> Response<Full<Bytes>> {
         let status = status(refusal);
         tracing::info!(
             request = arrival.caller.id.as_deref(),
             route = %arrival.route.name,
             status = status.as_u16(),
+            elapsed_ms = time::millis(self.shared.rt.now().since(arrival.at)),
             kind = %refusal.kind,
             reason = refusal.reason.map(tracing::field::display),
             run = %refusal.run,
--- a/crates/marigoldloom_query/src/attempt.rs
+++ b/crates/marigoldloom_query/src/attempt.rs
@@ -92,11 +92,15 @@
         if result.as_ref().is_err_and(upstream::Error::not_run) {
             trace.0.fetch_sub(1, Ordering::Relaxed);
         }
-        self.settle(&subquery.service, &result);
+        self.settle(&subquery, &result);
         result
     }
 
-    fn settle(&mut self, service: &str, result: &Result<message::Reply, upstream::Error>) {
+    fn settle(
+        &mut self,
+        subquery: &message::Subquery,
+        result: &Result<message::Reply, upstream::Error>,
+    ) {
         self.open = false;
         let now = self.core.rt.now();
         let latency = now.since(self.started);
@@ -114,7 +118,8 @@
         };
         self.report(&changes);
         self.core.hooks.observer().attempted(&hooks::Attempt {
-            service,
+            request: &subquery.request.0,
+            service: &subquery.service,
             upstream: &self.replica.target.name,
             purpose: self.purpose,
             latency,
--- a/crates/marigoldloom_query/src/hooks.rs
+++ b/crates/marigoldloom_query/src/hooks.rs
@@ -72,6 +72,8 @@
 /// One finished attempt at a subquery.
 #[derive(Clone, Copy, Debug)]
 pub struct Attempt<'a> {
+    /// The caller's request.
+    pub request: &'a str,
     /// Service.
     pub service: &'a str,
     /// Upstream.
