Register instances and divide the connections of replicas by their count

Ruled out: the platform's seeds, which name three instances; a heartbeat per instance, which would be a priced call each. Change: an instance registers once (one write) and counts the registered ones from a stale list at a tenth of the price. Nothing removes instances that are gone, so the count errs to the safe side. A request that waits for a connection gives up before its attempt ends.

--- /dev/null
+++ b/crates/marigoldloom_catalog/src/fleet.rs
@@ -0,0 +1,59 @@
+//! How many instances share what upstreams bear.
+//!
+//! Each instance registers on the platform once and counts the registered ones now and then.
+//! Nothing removes an instance that is gone, so that the count is too large rather than too
+//! small and limits that are divided by it hold in sum.
+
+use std::time::Duration;
+
+use marigoldloom_runtime::runtime::{self, Runtime};
+
+use crate::source::{Error, Source};
+
+/// Pause before a failed call is tried again, and its limit.
+const RETRY_BASE: Duration = Duration::from_millis(500);
+const RETRY_CAP: Duration = Duration::from_secs(5);
+
+/// Time from the registration to the first count: all instances of a deployment start within
+/// 0.3 s of each other, and the platform may answer a count from a copy that is seconds old.
+const FIRST_COUNT: Duration = Duration::from_secs(4);
+
+/// Time between two counts.
+const COUNT_PERIOD: Duration = Duration::from_secs(15);
+
+/// Registers the instance `name` and hands each new count to `apply`. Runs until it is dropped.
+pub async fn follow<R, S, F>(rt: R, source: S, name: String, apply: F)
+where
+    R: Runtime,
+    S: Source,
+    F: Fn(u32),
+{
+    let mut attempt = 0;
+    while let Err(error) = source.register(&name).await {
+        pause(&rt, "registration", &error, &mut attempt).await;
+    }
+    rt.sleep(FIRST_COUNT).await;
+    let mut known = 0;
+    let mut attempt = 0;
+    loop {
+        match source.count().await {
+            Ok(count) => {
+                attempt = 0;
+                if count != known {
+                    tracing::info!(instances = count, "instances counted");
+                    known = count;
+                    apply(count.max(1));
+                }
+                rt.sleep(COUNT_PERIOD).await;
+            }
+            Err(error) => pause(&rt, "count", &error, &mut attempt).await,
+        }
+    }
+}
+
+async fn pause(rt: &impl Runtime, call: &str, error: &Error, attempt: &mut u32) {
+    tracing::debug!(call, %error, "the platform doesn't answer");
+    let pause = runtime::backoff(rt, *attempt, RETRY_BASE, RETRY_CAP);
+    *attempt += 1;
+    rt.sleep(pause.max(RETRY_BASE)).await;
+}
--- a/crates/marigoldloom_catalog/src/lib.rs
+++ b/crates/marigoldloom_catalog/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod catalog;
 pub mod configuration;
+pub mod fleet;
 pub mod follower;
 pub mod replica;
 pub mod source;
--- a/crates/marigoldloom_catalog/src/source.rs
+++ b/crates/marigoldloom_catalog/src/source.rs
@@ -103,7 +103,7 @@
     },
 }
 
-/// Reads records from the platform. Each call counts against the platform's rates.
+/// Reads records from the platform and keeps the tier's own there. Each call counts against the platform's rates.
 pub trait Source: Clone + Send + Sync + 'static {
     /// Reads all records of a kind.
     fn list(&self, kind: Kind) -> impl Future<Output = Result<Listing, Error>> + Send;
@@ -115,4 +115,10 @@
         kind: Kind,
         since: Revision,
     ) -> impl Future<Output = Result<Changes, Error>> + Send;
+
+    /// Registers an instance of the tier; no change if it is registered.
+    fn register(&self, name: &str) -> impl Future<Output = Result<(), Error>> + Send;
+
+    /// Counts the registered instances. The count may be seconds old.
+    fn count(&self) -> impl Future<Output = Result<u32, Error>> + Send;
 }
--- a/crates/marigoldloom_catalog/tests/follower.rs
+++ b/crates/marigoldloom_catalog/tests/follower.rs
@@ -1,11 +1,12 @@
 //! Guards what an instance believes while the platform is away, slow or forgetful.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use marigoldloom_catalog::catalog::Place;
 use marigoldloom_catalog::configuration::{Backend, Configuration, Limits, Route, Service};
+use marigoldloom_catalog::fleet;
 use marigoldloom_catalog::follower::{self, Latest};
 use marigoldloom_catalog::replica::Replica;
 use marigoldloom_catalog::source::{
@@ -33,6 +34,7 @@
     /// Counts up to end the watches that are held.
     cut: u64,
     lists: u32,
+    registered: BTreeSet<String>,
     revision: u64,
     records: BTreeMap<(Kind, Arc<str>), Record>,
     log: VecDeque<(u64, Kind, Change)>,
@@ -85,6 +87,23 @@
         })
     }
 
+    async fn register(&self, name: &str) -> Result<(), Error> {
+        self.with(|state| {
+            state.registered.insert(name.to_owned());
+            match state.away {
+                true => Err(Self::unreachable()),
+                false => Ok(()),
+            }
+        })
+    }
+
+    async fn count(&self) -> Result<u32, Error> {
+        self.with(|state| match state.away {
+            true => Err(Self::unreachable()),
+            false => Ok(u32::try_from(state.registered.len()).unwrap()),
+        })
+    }
+
     async fn watch(&self, kind: Kind, since: Revision) -> Result<Changes, Error> {
         let end = self.rt.now() + HOLD;
         let cut = self.with(|s| s.cut);
@@ -323,3 +342,28 @@
         assert_eq!(seen(&latest), Some((3, Vec::new())));
     });
 }
+
+/// Guards against limits that are divided by too few instances, and against an instance that
+/// gives up to register because the platform is away when it starts.
+#[test]
+fn instances_are_counted_although_the_platform_was_away() {
+    virtual_runtime::block_on(1, |rt| async move {
+        let fake = Fake::new(rt.clone());
+        fake.with(|s| s.away = true);
+        let counts = Arc::new(Mutex::new(Vec::new()));
+        for name in ["a", "b", "c"] {
+            let counts = Arc::clone(&counts);
+            let apply = move |count| counts.lock().unwrap().push(count);
+            let name = name.to_owned();
+            rt.spawn(fleet::follow(rt.clone(), fake.clone(), name, apply));
+        }
+        rt.sleep(Duration::from_secs(5)).await;
+        assert!(counts.lock().unwrap().is_empty());
+        fake.with(|s| s.away = false);
+        rt.sleep(Duration::from_secs(15)).await;
+        assert_eq!(*counts.lock().unwrap(), [3, 3, 3]);
+        fake.with(|s| s.registered.insert("d".to_owned()));
+        rt.sleep(Duration::from_secs(20)).await;
+        assert_eq!(*counts.lock().unwrap(), [3, 3, 3, 4, 4, 4]);
+    });
+}
--- a/crates/marigoldloom_front/src/client.rs
+++ b/crates/marigoldloom_front/src/client.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -25,6 +26,9 @@
 /// Connections that had ended unnoticed which one attempt may meet before it gives up.
 const STALE_LIMIT: u32 = 4;
 
+/// Time before an attempt's deadline at which it gives up to wait for a connection.
+const UNSENT_MARGIN: Duration = Duration::from_millis(5);
+
 /// Limits of the client.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Settings {
@@ -38,7 +42,7 @@
     pub idle: Duration,
     /// Largest response body in bytes.
     pub reply: usize,
-    /// Instances that share the connections that a replica accepts.
+    /// Instances that share the connections that a replica accepts, until they are counted.
     pub sharers: u32,
 }
 
@@ -90,19 +94,28 @@
     dialect: D,
     settings: Arc<Settings>,
     pools: Arc<Mutex<BTreeMap<Target, pool::Pool<Link>>>>,
+    sharers: Arc<AtomicU32>,
 }
 
 impl<R: Runtime, D: Dialect> Client<R, D> {
     /// Creates a client without connections.
     pub fn new(rt: R, dialect: D, settings: Settings) -> Self {
+        let sharers = AtomicU32::new(settings.sharers);
         Self {
             rt,
             dialect,
+            sharers: Arc::new(sharers),
             settings: Arc::new(settings),
             pools: Arc::default(),
         }
     }
 
+    /// Sets how many instances share the connections that a replica accepts. It counts from
+    /// the next [`Client::follow`].
+    pub fn set_sharers(&self, instances: u32) {
+        self.sharers.store(instances, Ordering::Relaxed);
+    }
+
     /// Closes idle connections to replicas that are gone and creates pools for new ones.
     pub fn follow(&self, topology: &topology::Topology) {
         let mut pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
@@ -126,7 +139,7 @@
 
     /// This instance's share of the connections that a replica accepts.
     fn share(&self, connections: u32) -> usize {
-        let share = connections / self.settings.sharers.max(1);
+        let share = connections / self.sharers.load(Ordering::Relaxed).max(1);
         usize::try_from(share.max(1)).unwrap_or(1)
     }
 
@@ -150,7 +163,8 @@
         let call = subquery.call.as_ref().ok_or(Error::Unreachable)?;
         let pool = self.pool_of(target).ok_or(Error::Unreachable)?;
         for _ in 0..STALE_LIMIT {
-            let left = subquery.deadline.since(self.rt.now());
+            // Ends before the attempt does, so that a request that was never sent is known as such.
+            let left = subquery.deadline.since(self.rt.now() + UNSENT_MARGIN);
             let mut lease = pool.lease(left).await.map_err(|error| match error {
                 pool::Error::Expired => refused(Refusal::Expired),
                 pool::Error::Unreachable => Error::Unreachable,
--- a/crates/marigoldloom_front/src/instance.rs
+++ b/crates/marigoldloom_front/src/instance.rs
@@ -13,6 +13,7 @@
 use hyper::body::Incoming;
 use marigoldloom_catalog::catalog::Place;
 use marigoldloom_catalog::configuration::Limits;
+use marigoldloom_catalog::fleet;
 use marigoldloom_catalog::follower::{self, Latest};
 use marigoldloom_catalog::source::Source;
 use marigoldloom_limits::{budget, cold};
@@ -51,6 +52,8 @@
 /// Settings of an instance.
 #[derive(Clone, Debug)]
 pub struct Settings {
+    /// Name of the instance, the same for all its processes.
+    pub name: String,
     /// Where callers connect.
     pub callers: SocketAddr,
     /// Where the balancer asks whether the instance is ready.
@@ -105,6 +108,21 @@
     };
     let engine = Engine::new(rt, client.clone(), parts, engine_settings(&settings));
     let latest = Latest::default();
+    let counted = {
+        let (client, latest) = (client.clone(), latest.clone());
+        fleet::follow(
+            rt,
+            source.clone(),
+            settings.name.clone(),
+            move |instances| {
+                client.set_sharers(instances);
+                if let Some(view) = latest.get() {
+                    client.follow(&view.topology);
+                }
+            },
+        )
+    };
+    rt.spawn(counted);
     let follow = {
         let (engine, latest) = (engine.clone(), latest.clone());
         follower::follow(rt, source, settings.place.clone(), move |view| {
--- a/crates/marigoldloom_standin/src/users/store.rs
+++ b/crates/marigoldloom_standin/src/users/store.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use async_std::task;
-use http_types::{StatusCode, Url};
+use http_types::{Method, StatusCode, Url};
 use marigoldloom_http::message::{Request, Response};
 use marigoldloom_http::server::{self, Handler};
 use serde_json::{Value, json};
@@ -111,6 +111,26 @@
         state.forgotten = state.revision;
     }
 
+    /// Creates an object on behalf of a caller; 409 if it exists.
+    fn create(&self, kind: &str, body: &Value) -> Response {
+        let Some(name) = body["meta"]["Name"].as_str() else {
+            return Response::new(StatusCode::BadRequest);
+        };
+        let key = (kind.to_owned(), name.to_owned());
+        if self.state().objects.contains_key(&key) {
+            return Response::new(StatusCode::Conflict);
+        }
+        self.put(kind, name, body["spec"].clone());
+        Response::new(StatusCode::Created)
+    }
+
+    /// Names of the objects of a kind.
+    pub fn names(&self, kind: &str) -> Vec<String> {
+        let state = self.state();
+        let keys = state.objects.keys().filter(|(k, _)| k == kind);
+        keys.map(|(_, name)| name.clone()).collect()
+    }
+
     /// Calls so far.
     pub fn calls(&self) -> u64 {
         self.state().calls
@@ -183,6 +203,12 @@
         match (mood, number(&url, "Watch")) {
             (Mood::Busy, _) => Response::new(StatusCode::ServiceUnavailable),
             (Mood::Away, _) => Response::hang_up(),
+            (Mood::Calm, None) if request.method() == Method::Post => {
+                match request.json::<Value>() {
+                    Ok(body) => self.create(kind, &body),
+                    Err(_) => Response::new(StatusCode::BadRequest),
+                }
+            }
             (Mood::Calm, Some(since)) => {
                 let wait = Duration::from_millis(number(&url, "WaitMs").unwrap_or_default());
                 self.watch(kind, since, wait).await
