Forward queries to the home instances of their shards

Other instances forward the whole query within their failure domain, with the version that routed it; a home instance with another version, or that can't be reached, leaves it to the sender. One code path sends on pooled connections for replicas and instances.

--- a/crates/marigoldloom_catalog/src/fleet.rs
+++ b/crates/marigoldloom_catalog/src/fleet.rs
@@ -1,11 +1,13 @@
 //! How many instances share what upstreams bear.
 //!
-//! Each instance registers on the platform once and counts the registered ones now and then.
+//! Each instance registers on the platform once and lists the registered ones now and then.
 //! Nothing removes an instance that is gone, so that the count is too large rather than too
 //! small and limits that are divided by it hold in sum.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
+use marigoldloom_routing::home;
 use marigoldloom_runtime::runtime::{self, Runtime};
 
 use crate::source::{Error, Source};
@@ -21,32 +23,42 @@
 /// Time between two counts.
 const COUNT_PERIOD: Duration = Duration::from_secs(15);
 
-/// Registers the instance `name` and hands each new count to `apply`. Runs until it is dropped.
-pub async fn follow<R, S, F>(rt: R, source: S, name: String, apply: F)
+/// A registered instance.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Member {
+    /// Name and failure domain.
+    pub candidate: home::Candidate,
+    /// Where other instances forward queries to.
+    pub address: SocketAddr,
+}
+
+/// Registers the instance `own` and hands each new list of instances to `apply`. Runs until it
+/// is dropped.
+pub async fn follow<R, S, F>(rt: R, source: S, own: Member, apply: F)
 where
     R: Runtime,
     S: Source,
-    F: Fn(u32),
+    F: Fn(Vec<Member>),
 {
     let mut attempt = 0;
-    while let Err(error) = source.register(&name).await {
+    while let Err(error) = source.register(&own).await {
         pause(&rt, "registration", &error, &mut attempt).await;
     }
     rt.sleep(FIRST_COUNT).await;
-    let mut known = 0;
+    let mut known = Vec::new();
     let mut attempt = 0;
     loop {
-        match source.count().await {
-            Ok(count) => {
+        match source.members().await {
+            Ok(members) => {
                 attempt = 0;
-                if count != known {
-                    tracing::info!(instances = count, "instances counted");
-                    known = count;
-                    apply(count.max(1));
+                if members != known {
+                    tracing::info!(instances = members.len(), "instances counted");
+                    known.clone_from(&members);
+                    apply(members);
                 }
                 rt.sleep(COUNT_PERIOD).await;
             }
-            Err(error) => pause(&rt, "count", &error, &mut attempt).await,
+            Err(error) => pause(&rt, "list of instances", &error, &mut attempt).await,
         }
     }
 }
--- a/crates/marigoldloom_catalog/src/source.rs
+++ b/crates/marigoldloom_catalog/src/source.rs
@@ -5,6 +5,7 @@
 use derive_more::derive;
 
 use crate::configuration::Configuration;
+use crate::fleet::Member;
 use crate::replica::Replica;
 
 /// Kinds of records that the catalog follows.
@@ -116,9 +117,9 @@
         since: Revision,
     ) -> impl Future<Output = Result<Changes, Error>> + Send;
 
-    /// Registers an instance of the tier; no change if it is registered.
-    fn register(&self, name: &str) -> impl Future<Output = Result<(), Error>> + Send;
+    /// Registers an instance of the tier, or renews what it registered before.
+    fn register(&self, own: &Member) -> impl Future<Output = Result<(), Error>> + Send;
 
-    /// Counts the registered instances. The count may be seconds old.
-    fn count(&self) -> impl Future<Output = Result<u32, Error>> + Send;
+    /// Lists the registered instances. The list may be seconds old.
+    fn members(&self) -> impl Future<Output = Result<Vec<Member>, Error>> + Send;
 }
--- a/crates/marigoldloom_catalog/src/view.rs
+++ b/crates/marigoldloom_catalog/src/view.rs
@@ -28,6 +28,8 @@
     pub table: Table,
     /// Limits on callers.
     pub limits: Limits,
+    /// Connections that one replica of a service accepts, by service.
+    pub connections: BTreeMap<Arc<str>, u32>,
     /// Services that the engine serves, by the names that [`backend_key`] gives.
     pub topology: Arc<topology::Topology>,
 }
@@ -84,10 +86,13 @@
             (Arc::clone(key), Arc::new(view))
         });
         let services = services.collect();
+        let connections = self.current.services.iter();
+        let connections = connections.map(|(name, s)| (Arc::clone(name), s.connections));
         View {
             version: self.current.version,
             table: Table::new(&self.current.routes),
             limits: self.current.limits,
+            connections: connections.collect(),
             topology: Arc::new(topology::Topology::new(Arc::clone(self.own), services)),
         }
     }
--- a/crates/marigoldloom_catalog/tests/follower.rs
+++ b/crates/marigoldloom_catalog/tests/follower.rs
@@ -6,13 +6,14 @@
 
 use marigoldloom_catalog::catalog::Place;
 use marigoldloom_catalog::configuration::{Backend, Configuration, Limits, Route, Service};
-use marigoldloom_catalog::fleet;
+use marigoldloom_catalog::fleet::{self, Member};
 use marigoldloom_catalog::follower::{self, Latest};
 use marigoldloom_catalog::replica::Replica;
 use marigoldloom_catalog::source::{
     Change, Changes, Error, Invalid, Kind, Listing, Record, Revision, Source,
 };
 use marigoldloom_catalog::view;
+use marigoldloom_routing::home;
 use marigoldloom_runtime::runtime::Runtime;
 use marigoldloom_testkit::virtual_runtime::{self, VirtualRuntime};
 
@@ -87,9 +88,9 @@
         })
     }
 
-    async fn register(&self, name: &str) -> Result<(), Error> {
+    async fn register(&self, own: &Member) -> Result<(), Error> {
         self.with(|state| {
-            state.registered.insert(name.to_owned());
+            state.registered.insert(own.candidate.name.to_string());
             match state.away {
                 true => Err(Self::unreachable()),
                 false => Ok(()),
@@ -97,10 +98,10 @@
         })
     }
 
-    async fn count(&self) -> Result<u32, Error> {
+    async fn members(&self) -> Result<Vec<Member>, Error> {
         self.with(|state| match state.away {
             true => Err(Self::unreachable()),
-            false => Ok(u32::try_from(state.registered.len()).unwrap()),
+            false => Ok(state.registered.iter().map(|name| member(name)).collect()),
         })
     }
 
@@ -343,6 +344,16 @@
     });
 }
 
+fn member(name: &str) -> Member {
+    Member {
+        candidate: home::Candidate {
+            name: Arc::from(name),
+            domain: Arc::from("north"),
+        },
+        address: "127.0.0.1:9".parse().unwrap(),
+    }
+}
+
 /// Guards against limits that are divided by too few instances, and against an instance that
 /// gives up to register because the platform is away when it starts.
 #[test]
@@ -353,9 +364,8 @@
         let counts = Arc::new(Mutex::new(Vec::new()));
         for name in ["a", "b", "c"] {
             let counts = Arc::clone(&counts);
-            let apply = move |count| counts.lock().unwrap().push(count);
-            let name = name.to_owned();
-            rt.spawn(fleet::follow(rt.clone(), fake.clone(), name, apply));
+            let apply = move |all: Vec<Member>| counts.lock().unwrap().push(all.len());
+            rt.spawn(fleet::follow(rt.clone(), fake.clone(), member(name), apply));
         }
         rt.sleep(Duration::from_secs(5)).await;
         assert!(counts.lock().unwrap().is_empty());
--- a/crates/marigoldloom_front/src/client.rs
+++ b/crates/marigoldloom_front/src/client.rs
@@ -6,28 +6,20 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use async_std::task;
 use bytes::Bytes;
 use http::header::CONTENT_ENCODING;
 use http::{Request, Response, Uri};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use hyper::client::conn::http1;
-use marigoldloom_http::{client, pool, socket};
+use marigoldloom_http::pool;
 use marigoldloom_routing::topology;
 use marigoldloom_runtime::runtime::Runtime;
 use marigoldloom_upstream::message::{self, Head, Reply, Subquery};
 use marigoldloom_upstream::upstream::{self, Error, Refusal, Target};
-use smol_hyper::rt::FuturesIo;
 
 use crate::dialect::{Dialect, Mark};
 use crate::headers;
-
-/// Connections that had ended unnoticed which one attempt may meet before it gives up.
-const STALE_LIMIT: u32 = 4;
-
-/// Time before an attempt's deadline at which it gives up to wait for a connection.
-const UNSENT_MARGIN: Duration = Duration::from_millis(5);
+use crate::links::{self, Link};
 
 /// Limits of the client.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -58,35 +50,6 @@
     }
 }
 
-/// One HTTP/1.1 connection to a replica.
-pub struct Link {
-    sender: http1::SendRequest<Full<Bytes>>,
-}
-
-impl pool::Reusable for Link {
-    async fn open(
-        address: SocketAddr,
-        _settings: &pool::Settings,
-        limit: Duration,
-    ) -> Result<Self, client::Error> {
-        let unreachable = |_| client::Error::Unreachable;
-        let stream = socket::connect(address, limit).await;
-        let stream = stream.map_err(|_| client::Error::Unreachable)?;
-        let io = FuturesIo::new(stream);
-        let (sender, connection) = http1::handshake(io).await.map_err(unreachable)?;
-        task::spawn(async move {
-            if let Err(error) = connection.await {
-                tracing::debug!(%address, %error, "connection to an upstream ended");
-            }
-        });
-        Ok(Self { sender })
-    }
-
-    fn is_usable(&self) -> bool {
-        self.sender.is_ready()
-    }
-}
-
 /// The client. Clones share the connections.
 #[derive(Clone)]
 pub struct Client<R, D> {
@@ -162,32 +125,14 @@
     async fn exchange(&self, target: &Target, subquery: &Subquery) -> Result<Reply, Error> {
         let call = subquery.call.as_ref().ok_or(Error::Unreachable)?;
         let pool = self.pool_of(target).ok_or(Error::Unreachable)?;
-        for _ in 0..STALE_LIMIT {
-            // Ends before the attempt does, so that a request that was never sent is known as such.
-            let left = subquery.deadline.since(self.rt.now() + UNSENT_MARGIN);
-            let mut lease = pool.lease(left).await.map_err(|error| match error {
-                pool::Error::Expired => refused(Refusal::Expired),
-                pool::Error::Unreachable => Error::Unreachable,
-            })?;
-            let request = self.request(target, subquery, call)?;
-            match lease.connection().sender.try_send_request(request).await {
-                Ok(response) => {
-                    let (reply, sound) = self.read(subquery, response).await;
-                    if sound {
-                        lease.keep();
-                    }
-                    return reply;
-                }
-                Err(mut error) => {
-                    // A connection that gives the request back has sent no byte of it.
-                    let unsent = error.take_message().is_some();
-                    if !unsent {
-                        return Err(Error::Lost);
-                    }
-                }
-            }
+        let left = || subquery.deadline.since(self.rt.now());
+        let request = || self.request(target, subquery, call, left());
+        let (response, lease) = links::send(&pool, left, request).await?;
+        let (reply, sound) = self.read(subquery, response).await;
+        if sound {
+            lease.keep();
         }
-        Err(Error::Unreachable)
+        reply
     }
 
     fn request(
@@ -195,11 +140,8 @@
         target: &Target,
         subquery: &Subquery,
         call: &message::Call,
-    ) -> Result<Request<Full<Bytes>>, Error> {
-        let left = subquery.deadline.since(self.rt.now());
-        if left.is_zero() {
-            return Err(refused(Refusal::Expired));
-        }
+        left: Duration,
+    ) -> Request<Full<Bytes>> {
         let body = Full::new(Bytes::copy_from_slice(&subquery.body));
         let mut request = Request::new(body);
         *request.method_mut() = call.method.clone();
@@ -207,7 +149,7 @@
         *request.headers_mut() = call.headers.clone();
         self.dialect
             .address(request.headers_mut(), &target.name, left);
-        Ok(request)
+        request
     }
 
     /// Reads a response. Returns also whether the connection may be used again.
@@ -260,7 +202,7 @@
         reply,
     };
     match status {
-        _ if mark.misdirected => Err(refused(Refusal::Misdirected)),
+        _ if mark.misdirected => Err(links::refused(Refusal::Misdirected)),
         _ if mark.refused => Err(Error::Refused {
             refusal: Refusal::Shed,
             report: Some(mark.report),
@@ -270,10 +212,3 @@
         _ => Ok(reply),
     }
 }
-
-fn refused(refusal: Refusal) -> Error {
-    Error::Refused {
-        refusal,
-        report: None,
-    }
-}
--- a/crates/marigoldloom_front/src/dialect.rs
+++ b/crates/marigoldloom_front/src/dialect.rs
@@ -34,6 +34,9 @@
     /// Reads what a caller says about its request.
     fn caller(&self, headers: &HeaderMap) -> Caller;
 
+    /// States how long the sender waits.
+    fn limit(&self, headers: &mut HeaderMap, left: Duration);
+
     /// Addresses an attempt to the process `instance`, which has `left` to answer.
     fn address(&self, headers: &mut HeaderMap, instance: &str, left: Duration);
 
--- a/crates/marigoldloom_front/src/front.rs
+++ b/crates/marigoldloom_front/src/front.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 use marigoldloom_catalog::configuration::{Backend, Limits, Route, Scatter, Share};
 use marigoldloom_catalog::follower::Latest;
-use marigoldloom_catalog::view;
+use marigoldloom_catalog::view::{self, View};
 use marigoldloom_query::answer::{Answer, Part, Reason};
 use marigoldloom_query::engine::{Engine, Outcome};
 use marigoldloom_query::hooks::Hooks;
@@ -26,6 +26,7 @@
 
 use crate::dialect::{Caller, Dialect};
 use crate::headers;
+use crate::homes::{self, Forwarded, Homes};
 use crate::listener::Handler;
 use crate::merge;
 
@@ -45,6 +46,8 @@
 /// The front end. Clones share all state.
 pub struct Front<R, U, H, D> {
     shared: Arc<Shared<R, U, H, D>>,
+    /// Whether the requests come from other instances.
+    inner: bool,
 }
 
 struct Shared<R, U, H, D> {
@@ -52,12 +55,14 @@
     engine: Engine<R, U, H>,
     dialect: D,
     latest: Latest,
+    homes: Arc<Homes<R>>,
 }
 
 impl<R, U, H, D> Clone for Front<R, U, H, D> {
     fn clone(&self) -> Self {
         Self {
             shared: Arc::clone(&self.shared),
+            inner: self.inner,
         }
     }
 }
@@ -66,6 +71,10 @@
 struct Arrival {
     at: Timestamp,
     caller: Caller,
+    /// The configuration that routed the request.
+    view: Arc<View>,
+    /// Whether another instance forwarded it.
+    forwarded: bool,
     route: Arc<Route>,
     call: Arc<Call>,
     body: Arc<[u8]>,
@@ -84,25 +93,50 @@
     TooLong,
     /// The body ended early.
     Broken,
+    /// Another instance routed the request by another configuration.
+    OtherVersion,
 }
 
 impl<R: Runtime, U: Upstream, H: Hooks, D: Dialect> Front<R, U, H, D> {
     /// Creates a front end that finds routes in `latest`.
-    pub fn new(rt: R, engine: Engine<R, U, H>, dialect: D, latest: Latest) -> Self {
+    pub(crate) fn new(
+        rt: R,
+        engine: Engine<R, U, H>,
+        dialect: D,
+        latest: Latest,
+        homes: Arc<Homes<R>>,
+    ) -> Self {
         Self {
             shared: Arc::new(Shared {
                 rt,
                 engine,
                 dialect,
                 latest,
+                homes,
             }),
+            inner: false,
+        }
+    }
+
+    /// The same front end for queries that other instances forward.
+    pub(crate) fn inner(&self) -> Self {
+        Self {
+            inner: true,
+            ..self.clone()
         }
     }
 
     async fn arrive(&self, request: Request<Incoming>) -> Result<Arrival, Rejection> {
         let at = self.shared.rt.now();
         let view = self.shared.latest.get().ok_or(Rejection::NotReady)?;
-        let (head, body) = request.into_parts();
+        let (mut head, body) = request.into_parts();
+        let routed = match self.inner {
+            true => homes::take_version(&mut head.headers),
+            false => None,
+        };
+        if routed.is_some_and(|version| version != view.version) {
+            return Err(Rejection::OtherVersion);
+        }
         let host = host(&head).ok_or(Rejection::Malformed)?;
         let target = head.uri.path_and_query().ok_or(Rejection::Malformed)?;
         let route = view
@@ -131,6 +165,8 @@
         Ok(Arrival {
             at,
             caller,
+            view,
+            forwarded: routed.is_some(),
             route,
             call: Arc::new(call),
             body: Arc::from(&*body.to_bytes()),
@@ -183,6 +219,10 @@
             least: u32::try_from(scatter.quorum()).unwrap_or(u32::MAX),
         };
         let (query, guard) = self.query(arrival, key, Some(timely));
+        if let Some(response) = self.forward(arrival, &query, scatter).await {
+            guard.finish();
+            return response;
+        }
         let result = self.shared.engine.run(&query).await;
         guard.finish();
         match result {
@@ -200,6 +240,36 @@
         }
     }
 
+    /// Has a home instance of the shards answer; none if this instance is to serve the query.
+    async fn forward(
+        &self,
+        arrival: &Arrival,
+        query: &Query,
+        scatter: &Scatter,
+    ) -> Option<Response<Full<Bytes>>> {
+        if arrival.forwarded || !arrival.body.is_empty() {
+            return None;
+        }
+        let caps = scatter
+            .shards
+            .iter()
+            .filter_map(|s| arrival.view.connections.get(s));
+        let connections = caps.min().copied()?;
+        let mut call = (*arrival.call).clone();
+        let left = query.deadline.since(self.shared.rt.now());
+        self.shared.dialect.limit(&mut call.headers, left);
+        let (homes, version) = (&self.shared.homes, arrival.view.version);
+        let forwarded = homes.forward(&query.service, connections, &call, version, query.deadline);
+        match forwarded.await {
+            Forwarded::Answered(response) => Some(*response),
+            Forwarded::Here => None,
+            Forwarded::Lost => {
+                let refusal = Refusal::not_run(Kind::Unavailable);
+                Some(self.refuse(arrival, &refusal.because(Reason::Lost, Run::Unknown)))
+            }
+        }
+    }
+
     fn query(
         &self,
         arrival: &Arrival,
@@ -320,6 +390,7 @@
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::Malformed | Self::Broken => StatusCode::BAD_REQUEST,
             Self::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::OtherVersion => StatusCode::CONFLICT,
         }
     }
 }
--- a/crates/marigoldloom_front/src/instance.rs
+++ b/crates/marigoldloom_front/src/instance.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_std::task;
@@ -19,7 +20,7 @@
 use marigoldloom_limits::{budget, cold};
 use marigoldloom_query::engine::{self, Engine};
 use marigoldloom_query::hooks;
-use marigoldloom_routing::health;
+use marigoldloom_routing::{health, home};
 use marigoldloom_runtime::async_std_runtime::AsyncStd;
 use marigoldloom_runtime::runtime::Runtime;
 use marigoldloom_runtime::scope::Scope;
@@ -30,6 +31,7 @@
 use crate::decisions::Decisions;
 use crate::dialect::Dialect;
 use crate::front::Front;
+use crate::homes::Homes;
 use crate::listener::{self, Handler, Stop};
 
 /// Time after a stop signal in which new connections are still accepted. The balancer asks
@@ -53,7 +55,9 @@
 #[derive(Clone, Debug)]
 pub struct Settings {
     /// Name of the instance, the same for all its processes.
-    pub name: String,
+    pub name: Arc<str>,
+    /// Where other instances forward queries to.
+    pub peers: SocketAddr,
     /// Where callers connect.
     pub callers: SocketAddr,
     /// Where the balancer asks whether the instance is ready.
@@ -108,19 +112,23 @@
     };
     let engine = Engine::new(rt, client.clone(), parts, engine_settings(&settings));
     let latest = Latest::default();
+    let own = fleet::Member {
+        candidate: home::Candidate {
+            name: Arc::clone(&settings.name),
+            domain: Arc::clone(&settings.place.domain),
+        },
+        address: settings.peers,
+    };
+    let homes = Arc::new(Homes::new(rt, own.candidate.clone()));
     let counted = {
-        let (client, latest) = (client.clone(), latest.clone());
-        fleet::follow(
-            rt,
-            source.clone(),
-            settings.name.clone(),
-            move |instances| {
-                client.set_sharers(instances);
-                if let Some(view) = latest.get() {
-                    client.follow(&view.topology);
-                }
-            },
-        )
+        let (client, latest, homes) = (client.clone(), latest.clone(), Arc::clone(&homes));
+        fleet::follow(rt, source.clone(), own, move |members| {
+            client.set_sharers(u32::try_from(members.len()).unwrap_or(u32::MAX));
+            homes.set_members(members);
+            if let Some(view) = latest.get() {
+                client.follow(&view.topology);
+            }
+        })
     };
     rt.spawn(counted);
     let follow = {
@@ -133,7 +141,8 @@
     };
     rt.spawn(follow);
     let stop = Stop::default();
-    let front = Front::new(rt, engine, dialect, latest.clone());
+    let front = Front::new(rt, engine, dialect, latest.clone(), homes);
+    bind(settings.peers, front.inner(), stop.clone()).await?;
     bind(settings.callers, front, stop.clone()).await?;
     let readiness = Readiness {
         path: settings.readiness_path,
