--- a/crates/marigoldloom_capacity/src/memory.rs
+++ b/crates/marigoldloom_capacity/src/memory.rs
@@ -106,8 +106,8 @@
     (builder, topology)
 }
 
-fn follow(topology: &topology::Topology) -> health::Table {
-    let table = health::Table::new(health::Observation::default());
+fn follow(topology: &topology::Topology) -> health::table::Table {
+    let table = health::table::Table::new(health::Observation::default());
     table.follow(Timestamp::ZERO, topology);
     table
 }
--- a/crates/marigoldloom_capacity/src/rebuild.rs
+++ b/crates/marigoldloom_capacity/src/rebuild.rs
@@ -23,7 +23,7 @@
     builder: topology::Builder,
     homes: homes::Homes,
     electorates: homes::Electorates,
-    health: health::Table,
+    health: health::table::Table,
     instances: Vec<home::Candidate>,
 }
 
@@ -111,7 +111,7 @@
             builder,
             homes: homes::Homes::default(),
             electorates: homes::Electorates::default(),
-            health: health::Table::new(health::Observation::default()),
+            health: health::table::Table::new(health::Observation::default()),
             instances: (0..instances).map(candidate).collect(),
         }
     }
--- a/crates/marigoldloom_front/src/lib.rs
+++ b/crates/marigoldloom_front/src/lib.rs
@@ -17,4 +17,3 @@
 pub mod links;
 pub mod listener;
 pub mod merge;
-mod timer;
--- a/crates/marigoldloom_front/src/links.rs
+++ b/crates/marigoldloom_front/src/links.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use async_std::task;
+use async_std::{future, task};
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::Full;
@@ -16,6 +16,9 @@
 /// Connections that had ended unnoticed which one request may meet before it gives up.
 const STALE_LIMIT: u32 = 4;
 
+/// Time for a connection to be ready after its last response.
+const READY_LIMIT: Duration = Duration::from_millis(20);
+
 /// Time before a deadline at which a request gives up to wait for a connection, so that one
 /// that was never sent is known as such.
 const UNSENT_MARGIN: Duration = Duration::from_millis(5);
@@ -44,7 +47,7 @@
     }
 
     fn is_usable(&self) -> bool {
-        self.sender.is_ready()
+        !self.sender.is_closed()
     }
 }
 
@@ -68,6 +71,11 @@
         if left().is_zero() {
             return Err(refused(Refusal::Expired));
         }
+        // The connection's own task may not have seen yet that the last response is complete.
+        let ready = future::timeout(READY_LIMIT, lease.connection().sender.ready()).await;
+        if !matches!(ready, Ok(Ok(()))) {
+            continue;
+        }
         match lease.connection().sender.try_send_request(request()).await {
             Ok(response) => return Ok((response, lease)),
             Err(mut error) => {
--- a/crates/marigoldloom_front/src/listener.rs
+++ b/crates/marigoldloom_front/src/listener.rs
@@ -17,11 +17,11 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use marigoldloom_catalog::configuration::Limits;
+use marigoldloom_http::hyper_runtime::HyperRuntime;
+use marigoldloom_runtime::async_std_runtime::AsyncStd;
 use marigoldloom_runtime::scope::Scope;
 use smol_hyper::rt::FuturesIo;
 
-use crate::timer::AsyncStdTimer;
-
 /// Pause after a failed accept, e.g. for want of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
@@ -102,7 +102,7 @@
         Ok::<_, convert::Infallible>(response)
     });
     let connection = http1::Builder::new()
-        .timer(AsyncStdTimer)
+        .timer(HyperRuntime(AsyncStd::new()))
         // Counts from the end of the previous request, so that it bounds idle time too.
         .header_read_timeout(limits.idle)
         .max_buf_size(limits.head.max(LEAST_BUFFER))
--- a/crates/marigoldloom_peers/src/grpc/hyper_runtime.rs
+++ b/crates/marigoldloom_http/src/hyper_runtime.rs
@@ -10,7 +10,7 @@
 
 /// hyper's executor and timer.
 #[derive(Clone, Debug)]
-pub(crate) struct HyperRuntime<R>(pub(crate) R);
+pub struct HyperRuntime<R>(pub R);
 
 /// hyper demands this of executors; the runtime inside is never pinned.
 impl<R> Unpin for HyperRuntime<R> {}
--- a/crates/marigoldloom_http/src/lib.rs
+++ b/crates/marigoldloom_http/src/lib.rs
@@ -3,6 +3,7 @@
 //! counts and graceful shutdown.
 
 pub mod client;
+pub mod hyper_runtime;
 pub mod message;
 pub mod pool;
 pub mod server;
--- a/crates/marigoldloom_peers/src/grpc/mod.rs
+++ b/crates/marigoldloom_peers/src/grpc/mod.rs
@@ -6,8 +6,6 @@
 pub mod pool;
 pub mod server;
 
-mod hyper_runtime;
-
 use std::time::Duration;
 
 /// A connection is pinged after this time without traffic. With its time limit, a
--- a/crates/marigoldloom_peers/src/grpc/pool.rs
+++ b/crates/marigoldloom_peers/src/grpc/pool.rs
@@ -12,12 +12,12 @@
 use derive_more::derive;
 use futures::future;
 use hyper::client::conn::http2;
+use marigoldloom_http::hyper_runtime::HyperRuntime;
 use marigoldloom_runtime::runtime;
 use smol_hyper::rt::FuturesIo;
 use tonic::body;
 
 use crate::generated::peer::{self, peer_client};
-use crate::grpc::hyper_runtime::HyperRuntime;
 use crate::grpc::{CONNECTION_WINDOW, PING_LIMIT, PING_PERIOD, STREAM_WINDOW};
 use crate::transport::{Error, MESSAGE_LIMIT, Transport};
 
--- a/crates/marigoldloom_peers/src/grpc/server.rs
+++ b/crates/marigoldloom_peers/src/grpc/server.rs
@@ -5,13 +5,13 @@
 use async_std::net;
 use hyper::server::conn::http2;
 use hyper::service as hyper_service;
+use marigoldloom_http::hyper_runtime::HyperRuntime;
 use marigoldloom_runtime::runtime;
 use smol_hyper::rt::FuturesIo;
 use tonic::body;
 use tower::ServiceExt;
 
 use crate::generated::peer::{self, peer_server};
-use crate::grpc::hyper_runtime::HyperRuntime;
 use crate::grpc::{CONNECTION_WINDOW, PING_LIMIT, PING_PERIOD, STREAM_WINDOW};
 use crate::transport::{MESSAGE_LIMIT, Service};
 
--- a/crates/marigoldloom_query/src/state.rs
+++ b/crates/marigoldloom_query/src/state.rs
@@ -34,7 +34,7 @@
     pub(crate) upstream: U,
     pub(crate) hooks: H,
     pub(crate) settings: engine::Settings,
-    pub(crate) health: health::Table,
+    pub(crate) health: health::table::Table,
     pub(crate) ramps: cold::Ramps,
     pub(crate) ledger: Arc<fingerprint::Ledger>,
     /// Start ids of processes that other instances brought out of cold start.
@@ -63,7 +63,7 @@
             upstream,
             hooks,
             settings,
-            health: health::Table::new(health::Observation {
+            health: health::table::Table::new(health::Observation {
                 cold_start: settings.cold_start,
                 ages: settings.losers == engine::Losers::Finish,
             }),
