Give a fingerprint its retry back after a harmless run

Cause: killed_upstream_costs_no_coverage fails now and then with 502 crashed, reason lost, although another replica is ready. A fingerprint had one retry after a lost connection until it ran on all shards; requests with equal bodies share it, so the second crash that any of them meets ended the request. Ruled out: nothing else yet; that this is the whole cause of the flaky test is not shown.

--- a/crates/marigoldloom_limits/src/fingerprint.rs
+++ b/crates/marigoldloom_limits/src/fingerprint.rs
@@ -145,9 +145,13 @@
         }
     }
 
-    /// Notes that a request ran on one shard without a crash.
+    /// Notes that a request ran on one shard without a crash. It has its retry again: another
+    /// request with this fingerprint may have spent it.
     pub fn harmless(&self, print: Fingerprint) {
         let mut inner = self.lock();
+        if let Some(own) = inner.own.get_mut(&print) {
+            own.retried = false;
+        }
         if inner.fresh.len() >= HARMLESS_CAP {
             inner.stale = mem::take(&mut inner.fresh);
         }
