--- a/crates/marigoldloom_catalog/src/follower.rs
+++ b/crates/marigoldloom_catalog/src/follower.rs
@@ -167,17 +167,16 @@
         }
     }
 
-    async fn pause(&self, kind: Kind, error: &Error, attempt: &mut u32) {
-        let now = self.rt.now();
-        let first = {
-            let mut state = self.state();
-            let first = state.down.is_none();
-            state.down.get_or_insert(now);
-            first
-        };
-        if first {
+    fn failed(&self, kind: Kind, error: &Error) {
+        let mut state = self.state();
+        if state.down.is_none() {
+            state.down = Some(self.rt.now());
             tracing::warn!(%kind, %error, "the platform doesn't answer; the last records stay in force");
         }
+    }
+
+    async fn pause(&self, kind: Kind, error: &Error, attempt: &mut u32) {
+        self.failed(kind, error);
         let pause = runtime::backoff(&self.rt, *attempt, RETRY_BASE, RETRY_CAP);
         *attempt += 1;
         self.rt.sleep(pause.max(RETRY_BASE)).await;
--- a/crates/marigoldloom_front/src/client.rs
+++ b/crates/marigoldloom_front/src/client.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use http::header::CONTENT_ENCODING;
-use http::{Request, Response, Uri};
+use http::{Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use marigoldloom_http::pool;
@@ -43,7 +43,7 @@
         Self {
             connect: Duration::from_millis(250),
             opening: 4,
-            idle: Duration::from_millis(4000),
+            idle: Duration::from_secs(4),
             reply: 4 * 1024 * 1024,
             sharers: 8,
         }
@@ -143,10 +143,7 @@
         left: Duration,
     ) -> Request<Full<Bytes>> {
         let body = Full::new(Bytes::copy_from_slice(&subquery.body));
-        let mut request = Request::new(body);
-        *request.method_mut() = call.method.clone();
-        *request.uri_mut() = Uri::from(call.target.clone());
-        *request.headers_mut() = call.headers.clone();
+        let mut request = links::request(call, body);
         self.dialect
             .address(request.headers_mut(), &target.name, left);
         request
--- a/crates/marigoldloom_front/src/front.rs
+++ b/crates/marigoldloom_front/src/front.rs
@@ -18,7 +18,7 @@
 use marigoldloom_query::request::{Policy, Request as Query, Timely};
 use marigoldloom_records::class::Class;
 use marigoldloom_runtime::runtime::Runtime;
-use marigoldloom_runtime::scope::Scope;
+use marigoldloom_runtime::scope;
 use marigoldloom_runtime::time::{self, Timestamp};
 use marigoldloom_upstream::message::{Call, RequestId};
 use marigoldloom_upstream::upstream::Upstream;
@@ -275,11 +275,11 @@
         arrival: &Arrival,
         service: Arc<str>,
         timely: Option<Timely>,
-    ) -> (Query, marigoldloom_runtime::scope::Guard) {
+    ) -> (Query, scope::Guard) {
         let route = &*arrival.route;
         let patience = arrival.caller.patience.unwrap_or(route.timeout);
         let patience = patience.saturating_sub(ANSWER_TRAVEL).min(route.timeout);
-        let scope = Scope::new();
+        let scope = scope::Scope::new();
         let guard = scope.guard();
         let query = Query {
             id: RequestId(Arc::from(arrival.caller.id.as_deref().unwrap_or_default())),
--- a/crates/marigoldloom_front/src/homes.rs
+++ b/crates/marigoldloom_front/src/homes.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, Uri};
+use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use marigoldloom_catalog::fleet::Member;
 use marigoldloom_http::pool;
@@ -27,7 +27,7 @@
 /// another one leaves the query to its sender.
 pub(crate) const VERSION: HeaderName = HeaderName::from_static("x-marigoldloom-version");
 
-/// Connections that a home instance wants to a replica of 2 to 3 slots.
+/// Connections that a home instance wants to a replica; they bound how many instances are home.
 const POOL: u32 = 4;
 
 /// Connections to one home instance.
@@ -192,10 +192,7 @@
         deadline: Timestamp,
     ) -> Result<Response<Full<Bytes>>, Error> {
         let request = || {
-            let mut request = Request::new(Full::default());
-            *request.method_mut() = call.method.clone();
-            *request.uri_mut() = Uri::from(call.target.clone());
-            *request.headers_mut() = call.headers.clone();
+            let mut request = links::request(call, Full::default());
             request
                 .headers_mut()
                 .insert(VERSION, HeaderValue::from(version));
--- a/crates/marigoldloom_front/src/instance.rs
+++ b/crates/marigoldloom_front/src/instance.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use async_std::task;
 use bytes::Bytes;
 use derive_more::derive;
 use futures::StreamExt;
@@ -152,7 +151,7 @@
     bind(settings.readiness, readiness, Stop::default()).await?;
     tracing::info!(callers = %settings.callers, readiness = %settings.readiness, "started");
     await_stop(signals).await;
-    leave(&settings, &stop).await;
+    leave(&rt, &settings, &stop).await;
     Ok(())
 }
 
@@ -191,14 +190,14 @@
 }
 
 /// Leaves the balancer's rotation, answers what is running and returns.
-async fn leave(settings: &Settings, stop: &Stop) {
+async fn leave(rt: &impl Runtime, settings: &Settings, stop: &Stop) {
     stop.closing.cancel();
-    task::sleep(LEAVE_TIME).await;
+    rt.sleep(LEAVE_TIME).await;
     stop.stopped.cancel();
     let rest = settings.grace.saturating_sub(LEAVE_TIME + EXIT_MARGIN);
-    let rt = AsyncStd::new();
-    while stop.connections() > 0 && rt.now().as_nanos() < rest.as_nanos() as u64 {
-        task::sleep(STOP_POLL).await;
+    let end = rt.now() + rest;
+    while stop.connections() > 0 && rt.now() < end {
+        rt.sleep(STOP_POLL).await;
     }
     tracing::info!(connections = stop.connections(), "stopped");
 }
--- a/crates/marigoldloom_front/src/links.rs
+++ b/crates/marigoldloom_front/src/links.rs
@@ -5,11 +5,12 @@
 
 use async_std::{future, task};
 use bytes::Bytes;
-use http::{Request, Response};
+use http::{Request, Response, Uri};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use marigoldloom_http::{client, pool, socket};
+use marigoldloom_upstream::message::Call;
 use marigoldloom_upstream::upstream::{Error, Refusal};
 use smol_hyper::rt::FuturesIo;
 
@@ -51,6 +52,15 @@
     }
 }
 
+/// The request that `call` is, with `body`.
+pub(crate) fn request(call: &Call, body: Full<Bytes>) -> Request<Full<Bytes>> {
+    let mut request = Request::new(body);
+    *request.method_mut() = call.method.clone();
+    *request.uri_mut() = Uri::from(call.target.clone());
+    *request.headers_mut() = call.headers.clone();
+    request
+}
+
 /// Sends a request on a connection of `pool`, with `left` as the time until its deadline. The
 /// connection is closed unless the caller keeps it. Dropping the future closes it too.
 ///
--- a/crates/marigoldloom_http/src/pool.rs
+++ b/crates/marigoldloom_http/src/pool.rs
@@ -275,11 +275,6 @@
         &mut self.connection
     }
 
-    /// Whether the connection carried a request before.
-    pub const fn is_reused(&self) -> bool {
-        self.reused
-    }
-
     /// What the other side has said about its process on this connection.
     pub const fn process(&self) -> Option<u64> {
         self.process
--- a/crates/marigoldloom_http/src/socket.rs
+++ b/crates/marigoldloom_http/src/socket.rs
@@ -1,4 +1,4 @@
-//! Options of connections that this process opens.
+//! Opens connections that notice when the other side goes silent.
 
 use std::io;
 use std::net::{self, SocketAddr};
