Let a new instance retry requests that meet a lost upstream

Cause: killed_upstream_costs_no_coverage fails now and then: all failures were in the instance that had just learned from its peer which upstreams are warm. Its own requests had earned no budget for retries, so a lost connection ended as 502 crashed at once, and a connection that could not be opened waited 3 s for budget and then missed from the answer. Ruled out: the race between a lost connection and the health of the other replica (it was ready each time); the fingerprint's one retry (bodies are unique); hedges that take the budget. Change: the next attempt after one that was never sent needs no budget, because the first was no load. A new budget holds an advance of 10 retries, which the first 100 requests make up for, so that extra attempts stay below a tenth of the requests. The users' front end takes no advance.

--- a/crates/marigoldloom_front/src/instance.rs
+++ b/crates/marigoldloom_front/src/instance.rs
@@ -164,6 +164,7 @@
             hedges: extra * 13 / 20,
             extra: extra * 3 / 4,
             burst: BURST,
+            advance: 0,
         },
         canary: engine::Canary::AfterStrike,
         losers: engine::Losers::Finish,
--- a/crates/marigoldloom_limits/src/budget.rs
+++ b/crates/marigoldloom_limits/src/budget.rs
@@ -1,7 +1,8 @@
 //! Budgets for hedges and retries as a fraction of requests.
 //!
-//! A bucket starts empty and each first attempt adds a fraction of a token, so the extra
-//! load never exceeds the fraction, whatever fails.
+//! Each first attempt adds a fraction of a token to a bucket, so the extra load never exceeds
+//! the fraction, whatever fails. A new bucket may hold an advance on what its first requests
+//! earn.
 
 use std::sync::{Mutex, PoisonError};
 
@@ -17,6 +18,9 @@
     pub extra: u64,
     /// Most tokens saved up, which bounds a burst of extra attempts.
     pub burst: u64,
+    /// Retries that a new budget allows in advance; the first requests earn no others until
+    /// they have made up for these.
+    pub advance: u64,
 }
 
 impl Default for Limits {
@@ -25,6 +29,8 @@
             hedges: 50,
             extra: 100,
             burst: 200,
+            // What 100 requests earn: an upstream may be lost right after the start.
+            advance: 10,
         }
     }
 }
@@ -40,6 +46,8 @@
 struct Tokens {
     hedges: u64,
     extra: u64,
+    /// Part of the advance that is not earned yet.
+    owed: u64,
     spent: Spent,
 }
 
@@ -55,11 +63,16 @@
 }
 
 impl Budget {
-    /// Creates an empty budget.
+    /// Creates a budget that allows the advance and no hedge.
     pub fn new(limits: Limits) -> Self {
+        let tokens = Tokens {
+            extra: limits.advance * UNIT,
+            owed: limits.advance * UNIT,
+            ..Tokens::default()
+        };
         Self {
             limits,
-            tokens: Mutex::default(),
+            tokens: Mutex::new(tokens),
         }
     }
 
@@ -69,7 +82,10 @@
         let cap = limits.burst * UNIT;
         let mut tokens = self.tokens.lock().unwrap_or_else(PoisonError::into_inner);
         tokens.hedges = (tokens.hedges + attempts * limits.hedges).min(cap);
-        tokens.extra = (tokens.extra + attempts * limits.extra).min(cap);
+        let earned = attempts * limits.extra;
+        let repaid = earned.min(tokens.owed);
+        tokens.owed -= repaid;
+        tokens.extra = (tokens.extra + earned - repaid).min(cap);
         tokens.spent.first += attempts;
     }
 
--- a/crates/marigoldloom_query/src/shard.rs
+++ b/crates/marigoldloom_query/src/shard.rs
@@ -235,7 +235,8 @@
         shard: u32,
         tries: &mut Tries,
     ) -> Result<attempt::Place<R, U, H>, Reason> {
-        let mut paid = tries.count == 0;
+        // An attempt that was never sent is no load, so that the next one is not extra.
+        let mut paid = tries.count == 0 || tries.last == Some(Reason::Unreachable);
         self.back_off(shard, tries).await?;
         loop {
             let mut waiting = Reason::Overloaded;
