Compare two replicas of each distance; count regions as a distance

Cause: on the grown deployments a shard has three replicas in three regions. Change: a replica's proximity (own failure domain, region, remote) stands in the topology; the two draws are made for each proximity, and the best score wins.

--- a/crates/marigoldloom_catalog/src/view.rs
+++ b/crates/marigoldloom_catalog/src/view.rs
@@ -146,6 +146,9 @@
                 address: replica.address,
             },
             domain: Arc::clone(&replica.domain),
+            proximity: topology::Proximity::between(self.own, &replica.domain, |domain| {
+                self.regions.get(domain)
+            }),
             snapshot: snapshot(),
             shards: vec![0],
             slots: replica.slots.max(1),
--- a/crates/marigoldloom_query/src/shard.rs
+++ b/crates/marigoldloom_query/src/shard.rs
@@ -324,7 +324,7 @@
             return Outlook::Never(Reason::NoReplica);
         };
         let candidates: Vec<_> = options.iter().map(|o| o.candidate()).collect();
-        let chosen = choice::choose(&candidates, topology.own(), || self.core.rt.random());
+        let chosen = choice::choose(&candidates, || self.core.rt.random());
         match chosen {
             Some(i) => Outlook::Chosen(options[i].choice()),
             None => self.blocked(&options, &candidates, &topology),
@@ -359,7 +359,6 @@
 
     /// Reserves a place for a hedge, if the budget and a ready replica allow it.
     fn hedge(&self, shard: u32, tries: &mut Tries) -> Option<attempt::Place<R, U, H>> {
-        let topology = self.core.topology()?;
         let untried = self.prospects(shard, &tries.tried);
         let options: Vec<_> = untried
             .into_iter()
@@ -367,7 +366,7 @@
             .collect();
         let candidates: Vec<_> = options.iter().map(Prospect::candidate).collect();
         let random = || self.core.rt.random();
-        let chosen = choice::choose_ready(&candidates, topology.own(), random)?;
+        let chosen = choice::choose_ready(&candidates, random)?;
         if self.may_crash() || !self.take_hedge(shard) {
             return None;
         }
@@ -410,10 +409,9 @@
 
     /// Whether a shard has a replica in the own failure domain.
     pub(crate) fn is_near(&self, shard: u32) -> bool {
-        let topology = self.core.topology();
-        let own = topology.as_ref().map(|t| t.own());
         let prospects = self.prospects(shard, &BTreeSet::new());
-        prospects.iter().any(|p| Some(&*p.replica.domain) == own)
+        let near = |p: &Prospect| p.replica.proximity == topology::Proximity::Domain;
+        prospects.iter().any(near)
     }
 
     /// The usable replicas of a shard in the topology in force, without `excluded`.
--- a/crates/marigoldloom_routing/src/choice.rs
+++ b/crates/marigoldloom_routing/src/choice.rs
@@ -1,14 +1,18 @@
 //! Choice between the replicas of a shard.
 //!
-//! Two random candidates are compared by a score of expected latency that grows with the
-//! cube of the own queue, as in C3; own counts are used because reports lag.
+//! Two random candidates of each distance are compared by a score of expected latency that
+//! grows with the cube of the own queue, as in C3; own counts are used because reports lag.
 
 use std::cmp;
 use std::time::Duration;
 
+use crate::topology::Proximity;
 use crate::{health, topology};
 
-/// Factor on the score of replicas in other failure domains.
+/// Factor on the score of replicas in other failure domains of the region.
+const REGION_FACTOR: f64 = 1.25;
+
+/// Factor on the score of replicas in other regions, whose bytes cost several times more.
 const REMOTE_FACTOR: f64 = 2.0;
 
 /// Weight of the share of failures in the score: a replica that fails half of its requests
@@ -80,7 +84,7 @@
         self.view.standing == health::Standing::Ejected && self.takes()
     }
 
-    fn score(&self, own: &str) -> f64 {
+    fn score(&self) -> f64 {
         // An answer that is owed for longer than the estimate shows a pause before any reply does.
         let latency = self.view.latency.max(self.view.waiting);
         let latency = latency.max(LATENCY_FLOOR).as_secs_f64();
@@ -88,9 +92,10 @@
         let queue = 1.0 + f64::from(self.view.in_flight) / slots;
         // A false report changes the score by at most a factor of 2.
         let hint = 1.0 + self.view.reported;
-        let distance = match *self.replica.domain == *own {
-            true => 1.0,
-            false => REMOTE_FACTOR,
+        let distance = match self.replica.proximity {
+            Proximity::Domain => 1.0,
+            Proximity::Region => REGION_FACTOR,
+            Proximity::Remote => REMOTE_FACTOR,
         };
         let failing = 1.0 + FAILING_FACTOR * self.view.failing;
         latency * queue.powi(3) * hint * distance * failing
@@ -99,31 +104,23 @@
 
 /// Chooses a candidate for a first attempt or a retry: the better of two random ready ones;
 /// a cold or probing one now and then, or if none is ready; an ejected one if all are ejected.
-pub fn choose(
-    candidates: &[Candidate<'_>],
-    own: &str,
-    mut random: impl FnMut() -> u64,
-) -> Option<usize> {
+pub fn choose(candidates: &[Candidate<'_>], mut random: impl FnMut() -> u64) -> Option<usize> {
     let trial = indices(candidates, Candidate::trial);
     let turn = !trial.is_empty() && random().is_multiple_of(TRIAL_SHARE);
     if turn {
-        return pick(candidates, &trial, own, random);
+        return pick(candidates, &trial, random);
     }
-    choose_ready(candidates, own, &mut random)
-        .or_else(|| pick(candidates, &trial, own, &mut random))
-        .or_else(|| choose_ejected(candidates, own, random))
+    choose_ready(candidates, &mut random)
+        .or_else(|| pick(candidates, &trial, &mut random))
+        .or_else(|| choose_ejected(candidates, random))
 }
 
 /// Chooses among ejected candidates if there are no others: a shard whose replicas are all
 /// ejected would otherwise miss from every answer.
-fn choose_ejected(
-    candidates: &[Candidate<'_>],
-    own: &str,
-    random: impl FnMut() -> u64,
-) -> Option<usize> {
+fn choose_ejected(candidates: &[Candidate<'_>], random: impl FnMut() -> u64) -> Option<usize> {
     let ejected = indices(candidates, Candidate::last_resort);
     match all_ejected(candidates) {
-        true => pick(candidates, &ejected, own, random),
+        true => pick(candidates, &ejected, random),
         false => None,
     }
 }
@@ -141,13 +138,9 @@
 }
 
 /// Chooses a ready candidate only, as hedges do.
-pub fn choose_ready(
-    candidates: &[Candidate<'_>],
-    own: &str,
-    random: impl FnMut() -> u64,
-) -> Option<usize> {
+pub fn choose_ready(candidates: &[Candidate<'_>], random: impl FnMut() -> u64) -> Option<usize> {
     let ready = indices(candidates, Candidate::ready);
-    pick(candidates, &ready, own, random)
+    pick(candidates, &ready, random)
 }
 
 fn indices<'a>(candidates: &[Candidate<'a>], test: impl Fn(&Candidate<'a>) -> bool) -> Vec<usize> {
@@ -155,22 +148,32 @@
     numbered.filter(|(_, c)| test(c)).map(|(i, _)| i).collect()
 }
 
+/// The better of two random candidates of each distance. Drawn without regard to distance, the
+/// two would often miss the only one that is near.
 fn pick(
     candidates: &[Candidate<'_>],
     allowed: &[usize],
-    own: &str,
     mut random: impl FnMut() -> u64,
 ) -> Option<usize> {
-    let len = u64::try_from(allowed.len()).ok().filter(|n| *n > 0)?;
-    let first = random() % len;
-    let second = match len {
-        1 => first,
-        _ => (first + 1 + random() % (len - 1)) % len,
-    };
-    let chosen = [first, second].map(|i| allowed[usize::try_from(i).unwrap_or(0)]);
-    let score = |i: &usize| candidates[*i].score(own);
-    chosen.into_iter().min_by(|a, b| {
-        let order = score(a).partial_cmp(&score(b));
-        order.unwrap_or(cmp::Ordering::Equal)
-    })
+    let drawn = Proximity::ALL.iter().flat_map(|proximity| {
+        let near = |i: &&usize| candidates[**i].replica.proximity == *proximity;
+        let tier: Vec<_> = allowed.iter().filter(near).copied().collect();
+        two(&tier, &mut random)
+    });
+    let scored = drawn.map(|i| (candidates[i].score(), i));
+    let best = scored.min_by(|(a, _), (b, _)| a.partial_cmp(b).unwrap_or(cmp::Ordering::Equal));
+    best.map(|(_, i)| i)
+}
+
+/// Two random members of `tier` in random order, or as many as it has.
+fn two(tier: &[usize], mut random: impl FnMut() -> u64) -> Vec<usize> {
+    let mut below = |n: usize| usize::try_from(random() % n as u64).unwrap_or(0);
+    match tier.len() {
+        0 | 1 => tier.to_vec(),
+        len => {
+            let first = below(len);
+            let second = (first + 1 + below(len - 1)) % len;
+            vec![tier[first], tier[second]]
+        }
+    }
 }
--- a/crates/marigoldloom_routing/src/topology.rs
+++ b/crates/marigoldloom_routing/src/topology.rs
@@ -10,6 +10,35 @@
 use marigoldloom_records::{failure_domain, instance, record, service, upstream};
 use marigoldloom_upstream::upstream as protocol;
 
+/// Where an upstream is, as seen from this instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Proximity {
+    /// In the instance's own failure domain.
+    Domain,
+    /// In another failure domain of the instance's region.
+    Region,
+    /// In another region, or in a failure domain whose region is not known.
+    Remote,
+}
+
+impl Proximity {
+    /// From nearest to farthest.
+    pub const ALL: [Self; 3] = [Self::Domain, Self::Region, Self::Remote];
+
+    /// How far the failure domain `other` is from `own`; `region` names a failure domain's region.
+    pub fn between<'a>(
+        own: &str,
+        other: &str,
+        region: impl Fn(&str) -> Option<&'a String>,
+    ) -> Self {
+        match region(own) {
+            _ if own == other => Self::Domain,
+            Some(known) if region(other) == Some(known) => Self::Region,
+            _ => Self::Remote,
+        }
+    }
+}
+
 /// One upstream as the request path sees it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Replica {
@@ -17,6 +46,8 @@
     pub target: protocol::Target,
     /// Failure domain.
     pub domain: Arc<str>,
+    /// How far the failure domain is from this instance.
+    pub proximity: Proximity,
     /// Snapshot served.
     pub snapshot: service::Snapshot,
     /// Shards served.
@@ -178,6 +209,7 @@
     own: Arc<str>,
     services: BTreeMap<Arc<str>, service::Service>,
     out: BTreeSet<String>,
+    regions: BTreeMap<String, String>,
     upstreams: BTreeMap<Arc<str>, upstream::Upstream>,
     members: BTreeMap<String, BTreeSet<Arc<str>>>,
     sizes: BTreeMap<(Arc<str>, service::Snapshot), u32>,
@@ -192,6 +224,7 @@
             own: Arc::from(own),
             services: BTreeMap::new(),
             out: BTreeSet::new(),
+            regions: BTreeMap::new(),
             upstreams: BTreeMap::new(),
             members: BTreeMap::new(),
             sizes: BTreeMap::new(),
@@ -206,6 +239,7 @@
             record::AnyRecord::Service(s) => self.set_service(s),
             record::AnyRecord::FailureDomain(d) => {
                 self.set_domain(&d.name, d.state == failure_domain::State::Out);
+                self.set_region(d.name, Some(d.region));
             }
             record::AnyRecord::Upstream(u) => self.set_upstream(u),
             record::AnyRecord::Instance(_) | record::AnyRecord::VersionMove(_) => {}
@@ -220,7 +254,10 @@
                 self.sizes.retain(|(service, _), _| **service != *name);
                 self.dirty.insert(Arc::from(name));
             }
-            record::Kind::FailureDomain => self.set_domain(name, false),
+            record::Kind::FailureDomain => {
+                self.set_domain(name, false);
+                self.set_region(name.to_owned(), None);
+            }
             record::Kind::Upstream => self.remove_upstream(name),
             record::Kind::Instance | record::Kind::VersionMove => {}
         }
@@ -264,6 +301,17 @@
         }
     }
 
+    fn set_region(&mut self, name: String, region: Option<String>) {
+        if self.regions.get(&name) == region.as_ref() {
+            return;
+        }
+        match region {
+            Some(region) => self.regions.insert(name, region),
+            None => self.regions.remove(&name),
+        };
+        self.dirty.extend(self.services.keys().cloned());
+    }
+
     fn set_upstream(&mut self, record: upstream::Upstream) {
         self.remove_upstream(&record.name);
         let name: Arc<str> = Arc::from(record.name.as_str());
@@ -323,6 +371,7 @@
                 address: record.address,
             },
             domain: Arc::from(record.domain.as_str()),
+            proximity: Proximity::between(&self.own, &record.domain, |d| self.regions.get(d)),
             snapshot: record.snapshot(),
             shards: record.shards.clone(),
             slots: record.slots,
--- a/crates/marigoldloom_routing/tests/choice.rs
+++ b/crates/marigoldloom_routing/tests/choice.rs
@@ -17,6 +17,7 @@
             address: SocketAddr::from(([127, 0, 0, 1], 10_000)),
         },
         domain: Arc::from("far"),
+        proximity: topology::Proximity::Remote,
         snapshot: service::Snapshot {
             version: "v1".to_owned(),
             epoch: 1,
@@ -121,7 +122,7 @@
                 cold: 2,
                 sharers: case.sharers,
             };
-            let chosen = choice::choose(&[candidate], "near", || 1);
+            let chosen = choice::choose(&[candidate], || 1);
             let expected = (in_flight < case.room).then_some(0);
             assert_eq!(chosen, expected, "{}: {in_flight} in flight", case.name);
         }
@@ -151,6 +152,41 @@
     };
     let candidates = [candidate(Standing::Ejected), candidate(Standing::Ready)];
     for random in 0..10 {
-        assert_eq!(choice::choose(&candidates, "near", || random), Some(1));
+        assert_eq!(choice::choose(&candidates, || random), Some(1));
+    }
+}
+
+/// Guards against bytes between regions that nobody needs: of three replicas, two draws without
+/// regard to distance would miss the only near one each third time.
+#[test]
+fn near_replica_is_always_considered() {
+    let at = |proximity| topology::Replica {
+        proximity,
+        ..replica()
+    };
+    let remote = at(topology::Proximity::Remote);
+    for proximity in [topology::Proximity::Domain, topology::Proximity::Region] {
+        let near = at(proximity);
+        let candidate = |replica| Candidate {
+            replica,
+            view: View {
+                waiting: Duration::ZERO,
+                failing: 0.0,
+                start: None,
+                in_flight: 0,
+                latency: Duration::from_millis(20),
+                standing: Standing::Ready,
+                cold: false,
+                shedding: false,
+                confirmed: true,
+                reported: 0.0,
+            },
+            cold: 2,
+            sharers: 1,
+        };
+        let candidates = [&remote, &remote, &near, &remote].map(candidate);
+        for random in 0..100 {
+            assert_eq!(choice::choose(&candidates, || random), Some(2));
+        }
     }
 }
