Divide budgets and connections by role; forward to home instances near the replicas

Cause: on the grown deployments each home instance had one connection to a replica (66 connections by 87 instances), so that one paused reply held back the next query; hedges had 13% of the requests although the operators allow about 200 more in 10 s; weak instances (0.12 cores) were home; an answer that was due was late by the way between instances and by the processor's delay. Change: marigoldloom_limits::allowance divides what operators allow among home and other instances; connections follow the same roles. Home sets lie in the failure domains of the replicas, leave out instances with less than half of the strongest one's capacity, are kept until instances or replicas change, and are chosen among like replicas. The sender of a query says when it is due; the way between instances and the delay of timers are measured. An instance that registered before counts the others at once.

--- a/crates/marigoldloom_catalog/src/fleet.rs
+++ b/crates/marigoldloom_catalog/src/fleet.rs
@@ -16,7 +16,7 @@
 const RETRY_BASE: Duration = Duration::from_millis(500);
 const RETRY_CAP: Duration = Duration::from_secs(5);
 
-/// Time from the registration to the first count: all instances of a deployment start within
+/// Time from the first registration to the first count: all instances of a deployment start within
 /// 0.3 s of each other, and the platform may answer a count from a copy that is seconds old.
 const FIRST_COUNT: Duration = Duration::from_secs(4);
 
@@ -24,12 +24,23 @@
 const COUNT_PERIOD: Duration = Duration::from_secs(15);
 
 /// A registered instance.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Member {
     /// Name and failure domain.
     pub candidate: home::Candidate,
     /// Where other instances forward queries to.
     pub address: SocketAddr,
+    /// Processor time that it may use, in cores.
+    pub capacity: f64,
+}
+
+/// What a registration found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Registration {
+    /// The instance had not registered before.
+    New,
+    /// An earlier process of the instance had, so that the others have registered too.
+    Known,
 }
 
 /// Registers the instance `own` and hands each new list of instances to `apply`. Runs until it
@@ -41,10 +52,13 @@
     F: Fn(Vec<Member>),
 {
     let mut attempt = 0;
-    while let Err(error) = source.register(&own).await {
-        pause(&rt, "registration", &error, &mut attempt).await;
+    loop {
+        match source.register(&own).await {
+            Ok(Registration::New) => break rt.sleep(FIRST_COUNT).await,
+            Ok(Registration::Known) => break,
+            Err(error) => pause(&rt, "registration", &error, &mut attempt).await,
+        }
     }
-    rt.sleep(FIRST_COUNT).await;
     let mut known = Vec::new();
     let mut attempt = 0;
     loop {
--- a/crates/marigoldloom_catalog/src/follower.rs
+++ b/crates/marigoldloom_catalog/src/follower.rs
@@ -210,9 +210,9 @@
 
 impl Latest {
     /// Replaces the view.
-    pub fn set(&self, view: View) {
+    pub fn set(&self, view: Arc<View>) {
         let mut latest = self.view.lock().unwrap_or_else(PoisonError::into_inner);
-        *latest = Some(Arc::new(view));
+        *latest = Some(view);
     }
 
     /// The view in force.
--- a/crates/marigoldloom_catalog/src/source.rs
+++ b/crates/marigoldloom_catalog/src/source.rs
@@ -5,7 +5,7 @@
 use derive_more::derive;
 
 use crate::configuration::Configuration;
-use crate::fleet::Member;
+use crate::fleet::{Member, Registration};
 use crate::replica::Replica;
 
 /// Kinds of records that the catalog follows.
@@ -118,7 +118,7 @@
     ) -> impl Future<Output = Result<Changes, Error>> + Send;
 
     /// Registers an instance of the tier, or renews what it registered before.
-    fn register(&self, own: &Member) -> impl Future<Output = Result<(), Error>> + Send;
+    fn register(&self, own: &Member) -> impl Future<Output = Result<Registration, Error>> + Send;
 
     /// Lists the registered instances. The list may be seconds old.
     fn members(&self) -> impl Future<Output = Result<Vec<Member>, Error>> + Send;
--- a/crates/marigoldloom_catalog/tests/follower.rs
+++ b/crates/marigoldloom_catalog/tests/follower.rs
@@ -6,7 +6,7 @@
 
 use marigoldloom_catalog::catalog::Place;
 use marigoldloom_catalog::configuration::{Backend, Configuration, Limits, Route, Service};
-use marigoldloom_catalog::fleet::{self, Member};
+use marigoldloom_catalog::fleet::{self, Member, Registration};
 use marigoldloom_catalog::follower::{self, Latest};
 use marigoldloom_catalog::replica::Replica;
 use marigoldloom_catalog::source::{
@@ -88,12 +88,13 @@
         })
     }
 
-    async fn register(&self, own: &Member) -> Result<(), Error> {
+    async fn register(&self, own: &Member) -> Result<Registration, Error> {
         self.with(|state| {
-            state.registered.insert(own.candidate.name.to_string());
-            match state.away {
-                true => Err(Self::unreachable()),
-                false => Ok(()),
+            let new = state.registered.insert(own.candidate.name.to_string());
+            match new {
+                _ if state.away => Err(Self::unreachable()),
+                true => Ok(Registration::New),
+                false => Ok(Registration::Known),
             }
         })
     }
@@ -196,7 +197,9 @@
         };
         let latest = Latest::default();
         let views = latest.clone();
-        let follow = follower::follow(rt.clone(), fake.clone(), place, move |view| views.set(view));
+        let follow = follower::follow(rt.clone(), fake.clone(), place, move |view| {
+            views.set(Arc::new(view));
+        });
         rt.spawn(follow);
         rt.sleep(Duration::from_millis(100)).await;
         check(rt, fake, latest).await;
@@ -333,7 +336,7 @@
             rt.clone(),
             fake.clone(),
             place,
-            move |v| views.set(v),
+            move |v| views.set(Arc::new(v)),
         ));
         rt.sleep(Duration::from_secs(2)).await;
         assert!(latest.get().is_none());
@@ -351,6 +354,7 @@
             domain: Arc::from("north"),
         },
         address: "127.0.0.1:9".parse().unwrap(),
+        capacity: 0.25,
     }
 }
 
@@ -377,3 +381,20 @@
         assert_eq!(*counts.lock().unwrap(), [3, 3, 3, 4, 4, 4]);
     });
 }
+
+/// Guards against an instance that starts again and serves for seconds as if it were alone:
+/// after a power loss all instances would connect to all replicas.
+#[test]
+fn restarted_instance_counts_at_once() {
+    virtual_runtime::block_on(1, |rt| async move {
+        let fake = Fake::new(rt.clone());
+        let names = ["a", "b", "c"].map(str::to_owned);
+        fake.with(|s| s.registered.extend(names));
+        let counts = Arc::new(Mutex::new(Vec::new()));
+        let counted = Arc::clone(&counts);
+        let apply = move |all: Vec<Member>| counted.lock().unwrap().push(all.len());
+        rt.spawn(fleet::follow(rt.clone(), fake, member("a"), apply));
+        rt.sleep(Duration::from_millis(100)).await;
+        assert_eq!(*counts.lock().unwrap(), [3]);
+    });
+}
--- a/crates/marigoldloom_front/src/client.rs
+++ b/crates/marigoldloom_front/src/client.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -34,8 +33,6 @@
     pub idle: Duration,
     /// Largest response body in bytes.
     pub reply: usize,
-    /// Instances that share the connections that a replica accepts, until they are counted.
-    pub sharers: u32,
 }
 
 impl Default for Settings {
@@ -45,7 +42,6 @@
             opening: 4,
             idle: Duration::from_secs(4),
             reply: 4 * 1024 * 1024,
-            sharers: 8,
         }
     }
 }
@@ -57,55 +53,44 @@
     dialect: D,
     settings: Arc<Settings>,
     pools: Arc<Mutex<BTreeMap<Target, pool::Pool<Link>>>>,
-    sharers: Arc<AtomicU32>,
 }
 
 impl<R: Runtime, D: Dialect> Client<R, D> {
     /// Creates a client without connections.
     pub fn new(rt: R, dialect: D, settings: Settings) -> Self {
-        let sharers = AtomicU32::new(settings.sharers);
         Self {
             rt,
             dialect,
-            sharers: Arc::new(sharers),
             settings: Arc::new(settings),
             pools: Arc::default(),
         }
     }
 
-    /// Sets how many instances share the connections that a replica accepts. It counts from
-    /// the next [`Client::follow`].
-    pub fn set_sharers(&self, instances: u32) {
-        self.sharers.store(instances, Ordering::Relaxed);
-    }
-
-    /// Closes idle connections to replicas that are gone and creates pools for new ones.
-    pub fn follow(&self, topology: &topology::Topology) {
+    /// Closes idle connections to replicas that are gone and creates pools for new ones. `share`
+    /// gives this instance's part of the connections that a replica of a service accepts; a
+    /// replica that serves several services has the greatest of the parts, and at least one.
+    pub fn follow(&self, topology: &topology::Topology, share: impl Fn(&Arc<str>, u32) -> usize) {
+        let mut limits: BTreeMap<&Target, usize> = BTreeMap::new();
+        for (key, service) in topology.services() {
+            for replica in service.upstreams().values() {
+                let limit = limits.entry(&replica.target).or_insert(1);
+                *limit = share(key, replica.connections).max(*limit);
+            }
+        }
         let mut pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
         let mut old = std::mem::take(&mut *pools);
-        let services = topology.services().values();
-        for replica in services.flat_map(|s| s.upstreams().values()) {
-            if pools.contains_key(&replica.target) {
-                continue;
-            }
-            let limit = self.share(replica.connections);
-            let pool = match old.remove(&replica.target) {
+        for (target, limit) in limits {
+            let pool = match old.remove(target) {
                 Some(pool) => {
                     pool.set_limit(limit);
                     pool
                 }
-                None => self.pool(replica.target.address, limit),
+                None => self.pool(target.address, limit),
             };
-            pools.insert(replica.target.clone(), pool);
+            pools.insert(target.clone(), pool);
         }
     }
 
-    /// This instance's share of the connections that a replica accepts.
-    fn share(&self, connections: u32) -> usize {
-        let share = connections / self.sharers.load(Ordering::Relaxed).max(1);
-        usize::try_from(share.max(1)).unwrap_or(1)
-    }
-
     fn pool(&self, address: SocketAddr, limit: usize) -> pool::Pool<Link> {
         let settings = pool::Settings {
             connections: limit,
--- a/crates/marigoldloom_front/src/front.rs
+++ b/crates/marigoldloom_front/src/front.rs
@@ -25,17 +25,21 @@
 use xxhash_rust::xxh3;
 
 use crate::dialect::{Caller, Dialect};
+use crate::forward::{self, Forwarded};
 use crate::headers;
-use crate::homes::{self, Forwarded, Homes};
+use crate::homes::Homes;
 use crate::listener::Handler;
 use crate::merge;
 
 /// Time that an answer takes to the caller: the way there, and a wait for the processor.
 const ANSWER_TRAVEL: Duration = Duration::from_millis(10);
 
-/// Part of a request's objective that its way to this instance and back takes, with the
-/// opening of the caller's connection: three round trips of 6 ms and the merge of the parts.
-const OBJECTIVE_MARGIN: Duration = Duration::from_millis(20);
+/// Part of a request's objective that its way to this instance and back takes, with the opening
+/// of the caller's connection: two round trips of 6 ms, and a wait for a timer.
+const OBJECTIVE_TRAVEL: Duration = Duration::from_millis(14);
+
+/// Processor time of a request before it is routed and after it is answered, on a whole core.
+const REQUEST_WORK: Duration = Duration::from_micros(1_500);
 
 /// When a caller may try again where the state gives no better time.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
@@ -56,6 +60,8 @@
     dialect: D,
     latest: Latest,
     homes: Arc<Homes<R>>,
+    /// Part of a request's objective that is spent before and after its work here.
+    margin: Duration,
 }
 
 impl<R, U, H, D> Clone for Front<R, U, H, D> {
@@ -75,6 +81,8 @@
     view: Arc<View>,
     /// Whether another instance forwarded it.
     forwarded: bool,
+    /// When the answer is worth less from.
+    due: Timestamp,
     route: Arc<Route>,
     call: Arc<Call>,
     body: Arc<[u8]>,
@@ -98,13 +106,14 @@
 }
 
 impl<R: Runtime, U: Upstream, H: Hooks, D: Dialect> Front<R, U, H, D> {
-    /// Creates a front end that finds routes in `latest`.
+    /// Creates a front end that finds routes in `latest` and has `capacity` cores.
     pub(crate) fn new(
         rt: R,
         engine: Engine<R, U, H>,
         dialect: D,
         latest: Latest,
         homes: Arc<Homes<R>>,
+        capacity: f64,
     ) -> Self {
         Self {
             shared: Arc::new(Shared {
@@ -113,6 +122,7 @@
                 dialect,
                 latest,
                 homes,
+                margin: OBJECTIVE_TRAVEL + REQUEST_WORK.div_f64(capacity),
             }),
             inner: false,
         }
@@ -130,11 +140,11 @@
         let at = self.shared.rt.now();
         let view = self.shared.latest.get().ok_or(Rejection::NotReady)?;
         let (mut head, body) = request.into_parts();
-        let routed = match self.inner {
-            true => homes::take_version(&mut head.headers),
+        let mark = match self.inner {
+            true => forward::take_mark(&mut head.headers),
             false => None,
         };
-        if routed.is_some_and(|version| version != view.version) {
+        if mark.is_some_and(|m| m.version != view.version) {
             return Err(Rejection::OtherVersion);
         }
         let host = host(&head).ok_or(Rejection::Malformed)?;
@@ -155,6 +165,10 @@
             },
         )?;
         let (target, route) = (target.clone(), Arc::clone(route));
+        let time = match mark {
+            Some(mark) => mark.due,
+            None => route.objective.saturating_sub(self.shared.margin),
+        };
         let mut headers = head.headers;
         headers::remove_hop_by_hop(&mut headers);
         let call = Call {
@@ -166,7 +180,8 @@
             at,
             caller,
             view,
-            forwarded: routed.is_some(),
+            forwarded: mark.is_some(),
+            due: at + time,
             route,
             call: Arc::new(call),
             body: Arc::from(&*body.to_bytes()),
@@ -213,13 +228,12 @@
     async fn scatter(&self, arrival: &Arrival, scatter: &Scatter) -> Response<Full<Bytes>> {
         let route = &*arrival.route;
         let key = view::backend_key(&scatter.shards, &route.regions);
-        let objective = route.objective.saturating_sub(OBJECTIVE_MARGIN);
         let timely = Timely {
-            at: arrival.at + objective,
+            at: arrival.due,
             least: u32::try_from(scatter.quorum()).unwrap_or(u32::MAX),
         };
         let (query, guard) = self.query(arrival, key, Some(timely));
-        if let Some(response) = self.forward(arrival, &query, scatter).await {
+        if let Some(response) = self.forward(arrival, &query).await {
             guard.finish();
             return response;
         }
@@ -241,26 +255,22 @@
     }
 
     /// Has a home instance of the shards answer; none if this instance is to serve the query.
-    async fn forward(
-        &self,
-        arrival: &Arrival,
-        query: &Query,
-        scatter: &Scatter,
-    ) -> Option<Response<Full<Bytes>>> {
+    async fn forward(&self, arrival: &Arrival, query: &Query) -> Option<Response<Full<Bytes>>> {
         if arrival.forwarded || !arrival.body.is_empty() {
             return None;
         }
-        let caps = scatter
-            .shards
-            .iter()
-            .filter_map(|s| arrival.view.connections.get(s));
-        let connections = caps.min().copied()?;
+        let home = self.shared.homes.choose(&query.service)?;
         let mut call = (*arrival.call).clone();
         let left = query.deadline.since(self.shared.rt.now());
         self.shared.dialect.limit(&mut call.headers, left);
-        let (homes, version) = (&self.shared.homes, arrival.view.version);
-        let forwarded = homes.forward(&query.service, connections, &call, version, query.deadline);
-        match forwarded.await {
+        let forwarded = forward::Query {
+            id: &query.id.0,
+            call: &call,
+            version: arrival.view.version,
+            due: arrival.due,
+            deadline: query.deadline,
+        };
+        match forward::forward(&self.shared.rt, home, &forwarded).await {
             Forwarded::Answered(response) => Some(*response),
             Forwarded::Here => None,
             Forwarded::Lost => {
@@ -374,7 +384,14 @@
 
     async fn handle(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
         match self.arrive(request).await {
-            Ok(arrival) => self.answer(&arrival).await,
+            Ok(arrival) => {
+                let mut response = self.answer(&arrival).await;
+                if arrival.forwarded {
+                    let worked = self.shared.rt.now().since(arrival.at);
+                    forward::set_worked(response.headers_mut(), worked);
+                }
+                response
+            }
             Err(rejection) => {
                 tracing::info!(?rejection, "request rejected");
                 self.plain(rejection.status(), RETRY_PAUSE)
--- a/crates/marigoldloom_front/src/homes.rs
+++ b/crates/marigoldloom_front/src/homes.rs
@@ -1,219 +1,261 @@
-//! Forwards queries to the home instances of their shards.
+//! The home instances of lists of shards.
 //!
 //! A replica accepts few connections, and an instance that rarely sends to it would open a new
-//! one each time. So only the home set of a list of shards connects to their replicas; the
-//! other instances forward the whole query to a home instance of their own failure domain.
+//! one each time. So only the home set of a list of shards connects to their replicas. It lies in
+//! the failure domains of the replicas, so that one message to it takes the place of one message
+//! to each shard, and leaves out instances that are far weaker than others there.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError, RwLock};
-use std::time::Duration;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use bytes::Bytes;
-use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use marigoldloom_catalog::catalog::Place;
 use marigoldloom_catalog::fleet::Member;
-use marigoldloom_http::pool;
-use marigoldloom_routing::{health, home};
-use marigoldloom_runtime::runtime::{self, Runtime};
+use marigoldloom_catalog::view::View;
+use marigoldloom_limits::allowance::Sender;
+use marigoldloom_records::service;
+use marigoldloom_routing::topology::{Proximity, Replica, ServiceView};
+use marigoldloom_routing::{choice, home};
+use marigoldloom_runtime::runtime::Runtime;
 use marigoldloom_runtime::time::Timestamp;
-use marigoldloom_upstream::message::{Call, Report};
-use marigoldloom_upstream::upstream::Error;
+use marigoldloom_upstream::upstream::Target;
 
-use crate::headers;
-use crate::links::{self, Link};
-
-/// Version of the configuration by which a forwarded query was routed. A home instance with
-/// another one leaves the query to its sender.
-pub(crate) const VERSION: HeaderName = HeaderName::from_static("x-marigoldloom-version");
+use crate::forward::Peer;
 
 /// Connections that a home instance wants to a replica; they bound how many instances are home.
-const POOL: u32 = 4;
+const POOL: u32 = 2;
 
-/// Connections to one home instance.
-const CONNECTIONS: usize = 16;
+/// Instances that a deployment is taken to have until they are counted.
+pub(crate) const UNCOUNTED: u32 = 100;
 
-/// Time to open a connection to an instance of the same failure domain.
-const CONNECT_LIMIT: Duration = Duration::from_millis(100);
+/// Queries that one home instance is given at a time before another one is preferred.
+const QUERIES: u32 = 16;
 
-/// How long a connection to a home instance may stay idle.
-const IDLE_LIMIT: Duration = Duration::from_secs(30);
+/// Instances with less than this part of the strongest one's capacity in their failure domain
+/// are no home instances while a stronger one is.
+const LEAST_STRENGTH: f64 = 0.5;
 
-/// Largest answer in bytes.
-const ANSWER_LIMIT: usize = 4 * 1024 * 1024;
+/// The home instances of one list of shards, as this instance sees them.
+struct Set {
+    /// The others, for the choice among them.
+    others: Vec<Home>,
+    /// How this instance sends to the shards itself.
+    sender: Sender,
+}
 
-/// What became of a query that was to be forwarded.
-#[derive(Debug)]
-pub(crate) enum Forwarded {
-    /// A home instance answered.
-    Answered(Box<Response<Full<Bytes>>>),
-    /// No home instance ran it; this one is to serve it.
-    Here,
-    /// A home instance may have run it and gave no answer.
-    Lost,
+struct Home {
+    /// The instance as a target.
+    target: Replica,
+    peer: Arc<Peer>,
 }
 
-/// A home instance as this one sees it.
-#[derive(Clone)]
-struct Peer {
-    health: Arc<health::Health>,
-    pool: pool::Pool<Link>,
+#[derive(Default)]
+struct State {
+    members: Vec<Member>,
+    view: Option<Arc<View>>,
+    /// Home sets for the members and the view in force.
+    sets: BTreeMap<Arc<str>, Arc<Set>>,
+    peers: BTreeMap<SocketAddr, Arc<Peer>>,
 }
 
-/// The home sets of all shard lists.
+/// The home sets of all lists of shards.
 pub(crate) struct Homes<R> {
     rt: R,
     own: home::Candidate,
-    members: RwLock<Arc<[Member]>>,
-    peers: Mutex<BTreeMap<SocketAddr, Peer>>,
+    place: Place,
+    state: Mutex<State>,
 }
 
 impl<R: Runtime> Homes<R> {
     /// Creates the home sets of an instance that knows no other yet.
-    pub(crate) fn new(rt: R, own: home::Candidate) -> Self {
+    pub(crate) fn new(rt: R, own: home::Candidate, place: Place) -> Self {
         Self {
             rt,
             own,
-            members: RwLock::new(Arc::from([])),
-            peers: Mutex::default(),
+            place,
+            state: Mutex::default(),
         }
     }
 
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Replaces the instances of the tier.
     pub(crate) fn set_members(&self, members: Vec<Member>) {
-        let mut current = self.members.write().unwrap_or_else(PoisonError::into_inner);
-        *current = Arc::from(members);
+        let mut state = self.state();
+        state
+            .peers
+            .retain(|address, _| members.iter().any(|m| m.address == *address));
+        state.members = members;
+        state.sets.clear();
     }
 
-    /// The other home instances of `key` in the own failure domain; none if this instance is a
-    /// home instance itself. `connections` is what one replica accepts.
-    fn others(&self, key: &str, connections: u32) -> Vec<SocketAddr> {
-        let members = self.members.read().unwrap_or_else(PoisonError::into_inner);
-        let members = Arc::clone(&members);
-        let size = home::size(members.len(), connections, POOL);
-        if size >= members.len() {
-            return Vec::new();
-        }
-        let candidates: Vec<_> = members.iter().map(|m| m.candidate.clone()).collect();
-        let homes = home::home_set(key, &candidates, size);
-        if homes.contains(&self.own) {
-            return Vec::new();
-        }
-        let near = |m: &&Member| m.candidate.domain == self.own.domain;
-        let near = members.iter().filter(near);
-        let near = near.filter(|m| homes.contains(&m.candidate));
-        near.map(|m| m.address).collect()
+    /// Replaces the routes and replicas.
+    pub(crate) fn set_view(&self, view: Arc<View>) {
+        let mut state = self.state();
+        state.view = Some(view);
+        state.sets.clear();
     }
 
-    fn peer(&self, address: SocketAddr) -> Peer {
-        let mut peers = self.peers.lock().unwrap_or_else(PoisonError::into_inner);
-        let peer = peers.entry(address).or_insert_with(|| {
-            let observation = health::Observation {
-                cold_start: health::ColdStart::Announced,
-                ages: true,
-            };
-            let settings = pool::Settings {
-                connections: CONNECTIONS,
-                opening: CONNECTIONS,
-                connect: CONNECT_LIMIT,
-                idle: IDLE_LIMIT,
-                reply: ANSWER_LIMIT,
-            };
-            Peer {
-                health: Arc::new(health::Health::new(self.rt.now(), observation)),
-                pool: pool::Pool::new(address, settings),
-            }
-        });
-        peer.clone()
+    /// How this instance sends to the replicas of the engine's service `key`.
+    pub(crate) fn sender(&self, key: &Arc<str>) -> Sender {
+        self.set(key).map_or(Sender::Regular(1), |set| set.sender)
     }
 
-    /// A home instance that takes work, and its health as it was chosen for.
-    fn choose(&self, key: &str, connections: u32) -> Option<(Peer, health::View)> {
+    /// A home instance of `key` that takes a query; none if this instance is one itself or no
+    /// other is known to answer.
+    pub(crate) fn choose(&self, key: &Arc<str>) -> Option<Reserved> {
+        let set = self.set(key)?;
+        if matches!(set.sender, Sender::Regular(_)) {
+            return None;
+        }
         let now = self.rt.now();
-        let peers = self.others(key, connections);
-        let peers = peers.into_iter().map(|address| self.peer(address));
-        let views = peers.map(|p| (p.health.view(now), p));
-        let takes = |v: &health::View| {
-            matches!(
-                v.standing,
-                health::Standing::Ready | health::Standing::Probe
-            )
+        let candidates = set.others.iter().map(|home| choice::Candidate {
+            replica: &home.target,
+            view: home.peer.health.view(now),
+            cold: 0,
+            sharers: 1,
+        });
+        let candidates: Vec<_> = candidates.collect();
+        if choice::all_ejected(&candidates) {
+            return None;
+        }
+        let chosen = choice::choose(&candidates, || self.rt.random())?;
+        let candidate = &candidates[chosen];
+        let peer = Arc::clone(&set.others[chosen].peer);
+        let reserved = peer.health.begin(now, &candidate.view, candidate.room());
+        reserved.then_some(Reserved { peer, sent: now })
+    }
+
+    fn set(&self, key: &Arc<str>) -> Option<Arc<Set>> {
+        let mut state = self.state();
+        if let Some(set) = state.sets.get(key) {
+            return Some(Arc::clone(set));
+        }
+        let view = Arc::clone(state.view.as_ref()?);
+        let service = view.topology.service(key)?;
+        let set = match service.parts() {
+            _ if state.members.is_empty() => Set {
+                others: Vec::new(),
+                sender: Sender::Other(UNCOUNTED),
+            },
+            [_] => alone(&state.members),
+            parts => self.compute(&mut state, key, service, connections(&view, parts)),
         };
-        let ready: Vec<_> = views.filter(|(view, _)| takes(view)).collect();
-        let drawn = runtime::random_below(&self.rt, u64::try_from(ready.len()).ok()?);
-        let (view, peer) = ready.into_iter().nth(usize::try_from(drawn).ok()?)?;
-        Some((peer, view))
+        let set = Arc::new(set);
+        state.sets.insert(Arc::clone(key), Arc::clone(&set));
+        Some(set)
     }
 
-    /// Forwards a query for the shards `key` that was routed by the configuration `version`.
-    pub(crate) async fn forward(
+    fn compute(
         &self,
+        state: &mut State,
         key: &str,
+        service: &ServiceView,
         connections: u32,
-        call: &Call,
-        version: u64,
-        deadline: Timestamp,
-    ) -> Forwarded {
-        let Some((peer, view)) = self.choose(key, connections) else {
-            return Forwarded::Here;
-        };
-        let sent = self.rt.now();
-        if !peer.health.begin(sent, &view, view.in_flight + 1) {
-            return Forwarded::Here;
+    ) -> Set {
+        let able = able(&state.members, service);
+        let size = home::size(state.members.len(), connections, POOL);
+        let homes = home::home_set(key, &able, size);
+        if homes.is_empty() || homes.contains(&self.own) {
+            let senders = u32::try_from(homes.len()).unwrap_or(u32::MAX);
+            return Set {
+                others: Vec::new(),
+                sender: Sender::Regular(senders.max(1)),
+            };
         }
-        let exchange = self.exchange(&peer.pool, call, version, deadline);
-        let result = runtime::timeout_at(&self.rt, deadline, exchange).await;
-        let result = result.unwrap_or(Err(Error::TimedOut));
-        let now = self.rt.now();
-        match result {
-            Ok(response) => {
-                let warmup = health::Warmup::default();
-                peer.health.succeed(now, sent, &Report::default(), &warmup);
-                match response.status() {
-                    StatusCode::CONFLICT | StatusCode::SERVICE_UNAVAILABLE => Forwarded::Here,
-                    _ => Forwarded::Answered(Box::new(response)),
-                }
-            }
-            Err(error) => {
-                peer.health.fail(now, sent, deadline, &error);
-                match error.not_run() {
-                    true => Forwarded::Here,
-                    false => Forwarded::Lost,
-                }
-            }
+        let others = state
+            .members
+            .iter()
+            .filter(|m| homes.contains(&m.candidate));
+        let others: Vec<_> = others.cloned().collect();
+        let others = others.into_iter().map(|member| Home {
+            target: self.target(&member),
+            peer: self.peer(state, member.address),
+        });
+        let others = others.collect();
+        Set {
+            others,
+            sender: Sender::Other(count(&state.members)),
         }
     }
 
-    async fn exchange(
-        &self,
-        pool: &pool::Pool<Link>,
-        call: &Call,
-        version: u64,
-        deadline: Timestamp,
-    ) -> Result<Response<Full<Bytes>>, Error> {
-        let request = || {
-            let mut request = links::request(call, Full::default());
-            request
-                .headers_mut()
-                .insert(VERSION, HeaderValue::from(version));
-            request
-        };
-        let left = || deadline.since(self.rt.now());
-        let (response, lease) = links::send(pool, left, request).await?;
-        let (mut head, body) = response.into_parts();
-        let sound = !headers::says_close(&head.headers);
-        headers::remove_hop_by_hop(&mut head.headers);
-        let body = Limited::new(body, ANSWER_LIMIT).collect().await;
-        let body = body.map_err(|_incomplete| Error::Lost)?.to_bytes();
-        if sound {
-            lease.keep();
+    fn peer(&self, state: &mut State, address: SocketAddr) -> Arc<Peer> {
+        let peer = state.peers.entry(address);
+        Arc::clone(peer.or_insert_with(|| Arc::new(Peer::new(self.rt.now(), address))))
+    }
+
+    fn target(&self, member: &Member) -> Replica {
+        let domain = Arc::clone(&member.candidate.domain);
+        let proximity = Proximity::between(&self.own.domain, &domain, |domain| {
+            self.place.regions.get(domain)
+        });
+        Replica {
+            target: Target {
+                name: Arc::clone(&member.candidate.name),
+                address: member.address,
+            },
+            domain,
+            proximity,
+            snapshot: service::Snapshot {
+                version: String::new(),
+                epoch: 0,
+            },
+            shards: Vec::new(),
+            slots: QUERIES,
+            cold_slots: QUERIES,
+            connections: QUERIES,
+            usable: true,
         }
-        Ok(Response::from_parts(head, Full::new(body)))
     }
 }
 
-/// Takes the mark of a forwarded query; none if the request comes from a caller.
-pub(crate) fn take_version(headers: &mut HeaderMap) -> Option<u64> {
-    let value = headers.remove(VERSION)?;
-    value.to_str().ok()?.parse().ok()
+/// A home instance with a place for one query.
+pub(crate) struct Reserved {
+    pub(crate) peer: Arc<Peer>,
+    pub(crate) sent: Timestamp,
+}
+
+/// A service of one shard: a request to it is one message, whoever sends it.
+fn alone(members: &[Member]) -> Set {
+    Set {
+        others: Vec::new(),
+        sender: Sender::Regular(count(members)),
+    }
+}
+
+/// Instances in the failure domains of a service's replicas, without the far weaker ones. All
+/// instances if there is none, so that a home set never is empty.
+fn able(members: &[Member], service: &ServiceView) -> Vec<home::Candidate> {
+    let usable = service.upstreams().values().filter(|r| r.usable);
+    let domains: BTreeSet<_> = usable.map(|r| &r.domain).collect();
+    let inside = members
+        .iter()
+        .filter(|m| domains.contains(&m.candidate.domain));
+    let mut inside: Vec<_> = inside.collect();
+    if inside.is_empty() {
+        inside = members.iter().collect();
+    }
+    let mut strongest: BTreeMap<&str, f64> = BTreeMap::new();
+    for member in &inside {
+        let most = strongest.entry(&member.candidate.domain).or_default();
+        *most = most.max(member.capacity);
+    }
+    let strong = |m: &&&Member| m.capacity >= strongest[&*m.candidate.domain] * LEAST_STRENGTH;
+    inside
+        .iter()
+        .filter(strong)
+        .map(|m| m.candidate.clone())
+        .collect()
+}
+
+/// Connections that a replica of every part accepts.
+fn connections(view: &View, parts: &[Arc<str>]) -> u32 {
+    let caps = parts.iter().filter_map(|part| view.connections.get(part));
+    caps.min().copied().unwrap_or(1)
+}
+
+fn count(members: &[Member]) -> u32 {
+    u32::try_from(members.len()).unwrap_or(u32::MAX)
 }
--- a/crates/marigoldloom_front/src/instance.rs
+++ b/crates/marigoldloom_front/src/instance.rs
@@ -16,7 +16,8 @@
 use marigoldloom_catalog::fleet;
 use marigoldloom_catalog::follower::{self, Latest};
 use marigoldloom_catalog::source::Source;
-use marigoldloom_limits::{budget, cold};
+use marigoldloom_limits::allowance::{Allowance, Sender};
+use marigoldloom_limits::cold;
 use marigoldloom_query::engine::{self, Engine};
 use marigoldloom_query::hooks;
 use marigoldloom_routing::{health, home};
@@ -30,8 +31,9 @@
 use crate::decisions::Decisions;
 use crate::dialect::Dialect;
 use crate::front::Front;
-use crate::homes::Homes;
+use crate::homes::{self, Homes};
 use crate::listener::{self, Handler, Stop};
+use crate::sharing::Sharing;
 
 /// Time after a stop signal in which new connections are still accepted. The balancer asks
 /// each second whether the instance is ready and acts on the second refusal.
@@ -46,10 +48,6 @@
 /// Latency quantile after which a subquery is hedged.
 const HEDGE_QUANTILE: f64 = 0.9;
 
-/// Extra attempts per replicated service that one instance may save up. With 90 instances
-/// they stay below the operators' fixed allowance of about 190 in 10 s.
-const BURST: u64 = 2;
-
 /// Settings of an instance.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -67,8 +65,10 @@
     pub place: Place,
     /// Time between the stop signal and the kill.
     pub grace: Duration,
-    /// Extra attempts as a share of first ones that the operators allow per service.
-    pub extra: f64,
+    /// Processor time that the process may use, in cores.
+    pub capacity: f64,
+    /// Extra attempts that the operators allow per service.
+    pub allowance: Allowance,
     /// Limits of connections to replicas.
     pub client: client::Settings,
 }
@@ -117,30 +117,37 @@
             domain: Arc::clone(&settings.place.domain),
         },
         address: settings.peers,
+        capacity: settings.capacity,
     };
-    let homes = Arc::new(Homes::new(rt, own.candidate.clone()));
+    let homes = Homes::new(rt, own.candidate.clone(), settings.place.clone());
+    let sharing = Arc::new(Sharing {
+        engine: engine.clone(),
+        client,
+        latest: latest.clone(),
+        homes: Arc::new(homes),
+        allowance: settings.allowance,
+    });
     let counted = {
-        let (client, latest, homes) = (client.clone(), latest.clone(), Arc::clone(&homes));
+        let sharing = Arc::clone(&sharing);
         fleet::follow(rt, source.clone(), own, move |members| {
-            client.set_sharers(u32::try_from(members.len()).unwrap_or(u32::MAX));
-            homes.set_members(members);
-            if let Some(view) = latest.get() {
-                client.follow(&view.topology);
-            }
+            sharing.set_members(members);
         })
     };
     rt.spawn(counted);
-    let follow = {
-        let (engine, latest) = (engine.clone(), latest.clone());
-        follower::follow(rt, source, settings.place.clone(), move |view| {
-            client.follow(&view.topology);
-            engine.apply(view.topology.clone());
-            latest.set(view);
-        })
-    };
+    let homes = Arc::clone(&sharing.homes);
+    let follow = follower::follow(rt, source, settings.place.clone(), move |view| {
+        sharing.set_view(view);
+    });
     rt.spawn(follow);
     let stop = Stop::default();
-    let front = Front::new(rt, engine, dialect, latest.clone(), homes);
+    let front = Front::new(
+        rt,
+        engine,
+        dialect,
+        latest.clone(),
+        homes,
+        settings.capacity,
+    );
     bind(settings.peers, front.inner(), stop.clone()).await?;
     bind(settings.callers, front, stop.clone()).await?;
     let readiness = Readiness {
@@ -156,16 +163,10 @@
 }
 
 fn engine_settings(settings: &Settings) -> engine::Settings {
-    // Thousandths of first attempts.
-    let extra = (settings.extra * 1_000.0) as u64;
     engine::Settings {
         quantile: HEDGE_QUANTILE,
-        budget: budget::Limits {
-            hedges: extra * 13 / 20,
-            extra: extra * 3 / 4,
-            burst: BURST,
-            advance: 0,
-        },
+        // Until the instances are counted the fixed part is that of a large deployment.
+        budget: settings.allowance.limits(Sender::Other(homes::UNCOUNTED)),
         canary: engine::Canary::AfterStrike,
         losers: engine::Losers::Finish,
         cold_start: health::ColdStart::Announced,
--- a/crates/marigoldloom_front/src/lib.rs
+++ b/crates/marigoldloom_front/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod client;
 pub mod decisions;
 pub mod dialect;
+mod forward;
 pub mod front;
 pub mod headers;
 mod homes;
@@ -17,3 +18,4 @@
 pub mod links;
 pub mod listener;
 pub mod merge;
+mod sharing;
--- a/crates/marigoldloom_query/src/engine.rs
+++ b/crates/marigoldloom_query/src/engine.rs
@@ -196,6 +196,12 @@
         self.core.service(service).set_sharers(instances);
     }
 
+    /// Sets the budget for extra attempts at `service`; that of the settings until then.
+    pub fn set_budget(&self, service: &Arc<str>, limits: budget::Limits) {
+        let now = self.core.rt.now();
+        self.core.service(service).budget.set_limits(now, limits);
+    }
+
     /// Attempts at subqueries of `service` since the start.
     pub fn spent(&self, service: &Arc<str>) -> budget::Spent {
         self.core.service(service).budget.spent()
--- a/crates/marigoldloom_query/src/gather.rs
+++ b/crates/marigoldloom_query/src/gather.rs
@@ -88,16 +88,18 @@
     where
         F: Future<Output = (u32, Result<message::Reply, Reason>)>,
     {
-        let due = self.due(parts);
-        let due = due.map_or(Duration::MAX, |at| at.since(self.core.rt.now()));
-        match due {
-            Duration::MAX => asked.next().await,
-            due => {
-                let sleep = pin::pin!(self.core.rt.sleep(due));
-                match future::select(asked.next(), sleep).await {
-                    future::Either::Left((next, _)) => next,
-                    future::Either::Right(_) => None,
-                }
+        let Some(due) = self.due(parts) else {
+            return asked.next().await;
+        };
+        let left = due.since(self.core.rt.now());
+        let sleep = pin::pin!(self.core.rt.sleep(left));
+        match future::select(asked.next(), sleep).await {
+            future::Either::Left((next, _)) => next,
+            // An answer that lacked its quorum until after it was due says nothing.
+            future::Either::Right(_) if left.is_zero() => None,
+            future::Either::Right(_) => {
+                self.core.lag.record(self.core.rt.now().since(due));
+                None
             }
         }
     }
@@ -106,7 +108,8 @@
     fn due(&self, parts: usize) -> Option<Timestamp> {
         let timely = self.request.policy.timely?;
         let least = usize::try_from(timely.least).unwrap_or(usize::MAX);
-        (parts >= least.max(1)).then_some(timely.at)
+        let at = Timestamp::ZERO + timely.at.since(Timestamp::ZERO + self.core.lag.bound());
+        (parts >= least.max(1)).then_some(at)
     }
 
     /// Names the shards that the answer is given without.
@@ -142,7 +145,9 @@
     /// asked so far are asked a second time then, which counts as retries.
     fn rerun(&self) -> bool {
         let again = u64::from(self.asked.load(Ordering::Relaxed));
-        self.superseded() && !self.left().is_zero() && self.service.budget.take_retries(again)
+        self.superseded()
+            && !self.left().is_zero()
+            && self.service.budget.take_retries(self.core.rt.now(), again)
     }
 
     /// Whether new queries read another snapshot of this version.
@@ -237,7 +242,8 @@
 
     /// Takes the fingerprint's retry and the budget for it.
     fn may_repeat(&self) -> bool {
-        self.core.ledger.take_retry(self.print) && self.service.budget.take_retries(1)
+        self.core.ledger.take_retry(self.print)
+            && self.service.budget.take_retries(self.core.rt.now(), 1)
     }
 
     /// A refusal that states whether the request may have run.
--- a/crates/marigoldloom_query/src/shard.rs
+++ b/crates/marigoldloom_query/src/shard.rs
@@ -247,7 +247,8 @@
                     self.await_room(freed).await;
                 }
                 Outlook::Chosen(choice) => {
-                    paid = paid || self.tracked(shard).budget.take_retries(1);
+                    let now = self.core.rt.now();
+                    paid = paid || self.tracked(shard).budget.take_retries(now, 1);
                     if let (false, false, Some(reason)) =
                         (paid, self.request.policy.patient, tries.last)
                     {
@@ -390,7 +391,7 @@
 
     fn take_hedge(&self, shard: u32) -> bool {
         let tracked = self.tracked(shard);
-        let granted = tracked.budget.take_hedge();
+        let granted = tracked.budget.take_hedge(self.core.rt.now());
         if !granted && tracked.stop(self.core.rt.now()) {
             let cause = "the hedge budget is spent";
             let kind = event::Kind::HedgingStopped;
--- a/crates/marigoldloom_query/src/state.rs
+++ b/crates/marigoldloom_query/src/state.rs
@@ -7,6 +7,7 @@
 
 use marigoldloom_limits::{budget, cold, fingerprint};
 use marigoldloom_routing::{health, quantile, topology};
+use marigoldloom_runtime::delay;
 use marigoldloom_runtime::runtime::Runtime;
 use marigoldloom_runtime::time::{self, Timestamp};
 use marigoldloom_telemetry::event;
@@ -37,6 +38,8 @@
     pub(crate) health: health::table::Table,
     pub(crate) ramps: cold::Ramps,
     pub(crate) ledger: Arc<fingerprint::Ledger>,
+    /// How late a query notices that its answer is due, e.g. while replies to others are read.
+    pub(crate) lag: delay::Delay,
     /// Start ids of processes that other instances brought out of cold start.
     vouched: Mutex<BTreeMap<Arc<str>, u64>>,
     topology: RwLock<Option<Arc<topology::Topology>>>,
@@ -69,6 +72,7 @@
             }),
             ramps: cold::Ramps::new(),
             ledger: Arc::default(),
+            lag: delay::Delay::default(),
             vouched: Mutex::default(),
             topology: RwLock::default(),
             services: Mutex::default(),
@@ -142,7 +146,7 @@
         let mut services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
         let service = services.entry(Arc::clone(name)).or_insert_with(|| {
             Arc::new(Service {
-                budget: budget::Budget::new(self.settings.budget),
+                budget: budget::Budget::new(self.rt.now(), self.settings.budget),
                 latencies: quantile::Routes::new(self.settings.quantile),
                 crashed: Mutex::default(),
                 stopped: Mutex::default(),
