--- a/crates/marigoldloom_front/src/homes.rs
+++ b/crates/marigoldloom_front/src/homes.rs
@@ -26,7 +26,7 @@
 const POOL: u32 = 2;
 
 /// Instances that a deployment is taken to have until they are counted.
-pub(crate) const UNCOUNTED: u32 = 100;
+pub(crate) const UNCOUNTED: u32 = 8;
 
 /// Queries that one home instance is given at a time before another one is preferred.
 const QUERIES: u32 = 16;
@@ -138,7 +138,7 @@
         let set = match service.parts() {
             _ if state.members.is_empty() => Set {
                 others: Vec::new(),
-                sender: Sender::Other(UNCOUNTED),
+                sender: Sender::Regular(UNCOUNTED),
             },
             [_] => alone(&state.members),
             parts => self.compute(&mut state, key, service, connections(&view, parts)),
--- a/crates/marigoldloom_front/src/instance.rs
+++ b/crates/marigoldloom_front/src/instance.rs
@@ -165,8 +165,7 @@
 fn engine_settings(settings: &Settings) -> engine::Settings {
     engine::Settings {
         quantile: HEDGE_QUANTILE,
-        // Until the instances are counted the fixed part is that of a large deployment.
-        budget: settings.allowance.limits(Sender::Other(homes::UNCOUNTED)),
+        budget: settings.allowance.limits(Sender::Regular(homes::UNCOUNTED)),
         canary: engine::Canary::AfterStrike,
         losers: engine::Losers::Finish,
         cold_start: health::ColdStart::Announced,
--- a/crates/marigoldloom_front/src/sharing.rs
+++ b/crates/marigoldloom_front/src/sharing.rs
@@ -16,9 +16,10 @@
 use crate::homes::Homes;
 
 /// Part of a replica's connections that its regular senders use together, in percent.
-const SENDERS_PART: f64 = 95.0;
+const SENDERS_PART: f64 = 100.0;
 
-/// Part of a replica's connections that all other instances use together, in percent.
+/// Part of a replica's connections that all other instances use together, in percent. They rarely
+/// open one, while no regular sender takes their requests.
 const OTHERS_PART: f64 = 5.0;
 
 /// Puts new replicas and new instances in force, with this instance's share of everything.
