Let two instances of each failure domain follow the store for the others

Ruled out: watches with stale reads: they may be 5.5 s behind while the store forgets its history, and a drain must be known in 3 s. The product's shared map with its heartbeats: it needs none of what instances already have in the store, and its heartbeats cross regions. Change: catalog::relay ranks the registered instances of a failure domain; the first two that answer follow the store, the others poll both of them and apply what either says (catalog::feed keeps what is needed for that). An instance whose peers have no contact follows the store itself, few at a time. Instances that start for the first time count the others before they follow.

--- a/crates/marigoldloom_catalog/src/configuration.rs
+++ b/crates/marigoldloom_catalog/src/configuration.rs
@@ -4,8 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 /// One version of the whole configuration.
 #[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
 pub struct Configuration {
     /// Grows with each change.
     pub version: u64,
@@ -19,6 +23,8 @@
 
 /// How requests to one path prefix of one host are served.
 #[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
 pub struct Route {
     /// Name.
     pub name: Arc<str>,
@@ -44,6 +50,8 @@
 
 /// Who serves the requests of a route.
 #[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Backend {
     /// One replica of a service.
     Single(Arc<str>),
@@ -55,6 +63,8 @@
 
 /// A service's share of a route's requests.
 #[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
 pub struct Share {
     /// Service.
     pub service: Arc<str>,
@@ -64,6 +74,8 @@
 
 /// How the parts of a query over several services become one answer.
 #[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
 pub struct Scatter {
     /// Services, one for each shard.
     pub shards: Vec<Arc<str>>,
@@ -85,6 +97,8 @@
 
 /// What operators say about a replicated service.
 #[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
 pub struct Service {
     /// Connections that one replica accepts from all instances together.
     pub connections: u32,
@@ -95,6 +109,8 @@
 
 /// Limits on what a caller may send.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
 pub struct Limits {
     /// Bytes of a request's head.
     pub head: usize,
--- a/crates/marigoldloom_catalog/src/fleet.rs
+++ b/crates/marigoldloom_catalog/src/fleet.rs
@@ -5,20 +5,23 @@
 //! small and limits that are divided by it hold in sum.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use marigoldloom_routing::home;
 use marigoldloom_runtime::runtime::{self, Runtime};
 
+use crate::relay::Roster;
 use crate::source::{Error, Source};
 
-/// Pause before a failed call is tried again, and its limit.
+/// Pause before a failed call is tried again, and its limit. It is shorter than the time from a
+/// registration to the first count, so that instances that wait for the platform count each other.
 const RETRY_BASE: Duration = Duration::from_millis(500);
-const RETRY_CAP: Duration = Duration::from_secs(5);
+const RETRY_CAP: Duration = Duration::from_secs(2);
 
 /// Time from the first registration to the first count: all instances of a deployment start within
-/// 0.3 s of each other, and the platform may answer a count from a copy that is seconds old.
-const FIRST_COUNT: Duration = Duration::from_secs(4);
+/// 0.3 s of each other, and the platform may answer a count from a copy that is 2 s old.
+const FIRST_COUNT: Duration = Duration::from_millis(2_500);
 
 /// Time between two counts.
 const COUNT_PERIOD: Duration = Duration::from_secs(15);
@@ -34,30 +37,28 @@
     pub capacity: f64,
 }
 
-/// What a registration found.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Registration {
-    /// The instance had not registered before.
-    New,
-    /// An earlier process of the instance had, so that the others have registered too.
-    Known,
-}
-
-/// Registers the instance `own` and hands each new list of instances to `apply`. Runs until it
-/// is dropped.
-pub async fn follow<R, S, F>(rt: R, source: S, own: Member, apply: F)
+/// Registers the instance `own`, unless an earlier process of it did, and hands each new list of
+/// instances to `roster` and `apply`. Runs until it is dropped.
+pub async fn follow<R, S, F>(rt: R, source: S, own: Member, roster: Arc<Roster>, apply: F)
 where
     R: Runtime,
     S: Source,
     F: Fn(Vec<Member>),
 {
     let mut attempt = 0;
-    loop {
-        match source.register(&own).await {
-            Ok(Registration::New) => break rt.sleep(FIRST_COUNT).await,
-            Ok(Registration::Known) => break,
-            Err(error) => pause(&rt, "registration", &error, &mut attempt).await,
+    let registered = loop {
+        match source.members().await {
+            Ok(members) => break members.contains(&own),
+            Err(error) => pause(&rt, "list of instances", &error, &mut attempt).await,
+        }
+    };
+    if !registered {
+        roster.expect();
+        let mut attempt = 0;
+        while let Err(error) = source.register(&own).await {
+            pause(&rt, "registration", &error, &mut attempt).await;
         }
+        rt.sleep(FIRST_COUNT).await;
     }
     let mut known = Vec::new();
     let mut attempt = 0;
@@ -68,6 +69,7 @@
                 if members != known {
                     tracing::info!(instances = members.len(), "instances counted");
                     known.clone_from(&members);
+                    roster.set_members(&members);
                     apply(members);
                 }
                 rt.sleep(COUNT_PERIOD).await;
--- /dev/null
+++ b/crates/marigoldloom_catalog/src/relay.rs
@@ -0,0 +1,169 @@
+//! Which instances follow the platform, and how the others get its records from them.
+//!
+//! Two instances of each failure domain, the first that answer in rendezvous order, follow the
+//! platform themselves. The others ask both of them and apply what either one says, so that a
+//! single lost connection delays no record. An instance without such peers follows the platform
+//! itself.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use derive_more::derive;
+use marigoldloom_routing::home;
+use marigoldloom_runtime::time::Timestamp;
+
+use crate::feed::{Known, News};
+use crate::fleet::Member;
+
+/// Instances of a failure domain that follow the platform.
+pub const WATCHERS: usize = 2;
+
+/// How long a peer holds a question without news. One that fell silent shows after that.
+pub const POLL_WAIT: Duration = Duration::from_secs(2);
+
+/// Time for which a peer may have no contact to the platform before others take its place. One
+/// that has just begun to follow the platform needs less.
+pub const BLIND_LIMIT: Duration = Duration::from_millis(700);
+
+/// First time for which a peer that gave no records isn't asked, and its limit.
+const REST_BASE: Duration = Duration::from_secs(4);
+const REST_CAP: Duration = Duration::from_secs(30);
+
+/// Seed of the rendezvous order of instances that follow the platform.
+const ORDER: &str = "platform watchers";
+
+/// Why a peer gave no records.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(derive::Display, derive::Error)]
+pub enum Error {
+    /// No usable response came.
+    #[display("no response from the instance")]
+    Unreachable,
+    /// It does not follow the platform at present, or the platform does not answer it.
+    #[display("the instance has no contact to the platform")]
+    Blind,
+}
+
+/// Asks other instances for records.
+pub trait Peers: Clone + Send + Sync + 'static {
+    /// What `peer` knows that is not in `known`. The peer waits up to [`POLL_WAIT`] for news.
+    fn poll(
+        &self,
+        peer: &Member,
+        known: &Known,
+    ) -> impl Future<Output = Result<News, Error>> + Send;
+}
+
+/// The instances that an instance may get records from.
+#[derive(Debug)]
+pub struct Roster {
+    own: home::Candidate,
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    /// Instances of the own failure domain in order; none until they are counted.
+    order: Option<Vec<Member>>,
+    /// Whether they are about to be counted.
+    expected: bool,
+    resting: BTreeMap<Arc<str>, Rest>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Rest {
+    until: Timestamp,
+    time: Duration,
+}
+
+/// How an instance gets records.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Role {
+    /// The other instances are not known yet.
+    Unknown,
+    /// From the platform.
+    Watcher,
+    /// From these instances.
+    Follower(Vec<Member>),
+}
+
+impl Roster {
+    /// Creates the roster of the instance `own`, which knows no other yet.
+    pub fn new(own: home::Candidate) -> Self {
+        Self {
+            own,
+            state: Mutex::default(),
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Notes that the platform answers and that the instances are counted soon.
+    pub fn expect(&self) {
+        self.state().expected = true;
+    }
+
+    /// Whether the instances are about to be counted.
+    pub fn is_expected(&self) -> bool {
+        self.state().expected
+    }
+
+    /// Replaces the instances of the tier.
+    pub fn set_members(&self, members: &[Member]) {
+        let near = |m: &&Member| m.candidate.domain == self.own.domain;
+        let near: Vec<_> = members.iter().filter(near).cloned().collect();
+        let candidates: Vec<_> = near.iter().map(|m| m.candidate.clone()).collect();
+        let order = home::home_set(ORDER, &candidates, candidates.len());
+        let member = |c: &home::Candidate| near.iter().find(|m| m.candidate == *c).cloned();
+        self.state().order = Some(order.iter().filter_map(member).collect());
+    }
+
+    /// How this instance is to get records at `now`.
+    pub fn role(&self, now: Timestamp) -> Role {
+        let state = self.state();
+        let Some(order) = &state.order else {
+            return Role::Unknown;
+        };
+        let before = order.iter().take_while(|m| m.candidate != self.own);
+        let rests = |m: &&Member| {
+            let rest = state.resting.get(&m.candidate.name);
+            rest.is_some_and(|r| r.until > now)
+        };
+        let first: Vec<_> = before
+            .filter(|m| !rests(m))
+            .take(WATCHERS)
+            .cloned()
+            .collect();
+        match first.len() {
+            WATCHERS => Role::Follower(first),
+            _ => Role::Watcher,
+        }
+    }
+
+    /// Whether this instance follows the platform while all others of its failure domain are well.
+    pub fn is_first(&self) -> bool {
+        let state = self.state();
+        let mut first = state.order.iter().flatten().take(WATCHERS);
+        state.order.is_none() || first.any(|m| m.candidate == self.own)
+    }
+
+    /// Notes that `peer` gave no records. It isn't asked for a while, longer each time.
+    pub fn failed(&self, now: Timestamp, peer: &Member, error: Error) {
+        tracing::info!(instance = %peer.candidate.name, %error, "no records from the instance");
+        let mut state = self.state();
+        let last = state.resting.get(&peer.candidate.name).map(|r| r.time);
+        let time = last.map_or(REST_BASE, |t| (t * 2).min(REST_CAP));
+        let until = now + time;
+        state
+            .resting
+            .insert(Arc::clone(&peer.candidate.name), Rest { until, time });
+    }
+
+    /// Notes that `peer` gave records.
+    pub fn answered(&self, peer: &Member) {
+        self.state().resting.remove(&peer.candidate.name);
+    }
+}
--- a/crates/marigoldloom_catalog/src/replica.rs
+++ b/crates/marigoldloom_catalog/src/replica.rs
@@ -4,8 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 /// One running process of a replicated service.
 #[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
 pub struct Replica {
     /// Unique name; mostly new with each start.
     pub id: Arc<str>,
--- a/crates/marigoldloom_catalog/src/source.rs
+++ b/crates/marigoldloom_catalog/src/source.rs
@@ -3,14 +3,16 @@
 use std::sync::Arc;
 
 use derive_more::derive;
+use serde::{Deserialize, Serialize};
 
 use crate::configuration::Configuration;
-use crate::fleet::{Member, Registration};
+use crate::fleet::Member;
 use crate::replica::Replica;
 
 /// Kinds of records that the catalog follows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-#[derive(derive::Display)]
+#[derive(Deserialize, Serialize, derive::Display)]
+#[serde(rename_all = "snake_case")]
 pub enum Kind {
     /// The configuration.
     #[display("configuration")]
@@ -30,6 +32,8 @@
 
 /// One record.
 #[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Record {
     /// The configuration.
     Configuration(Box<Configuration>),
@@ -43,7 +47,8 @@
 
 /// Why a record can't be used.
 #[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(derive::Display, derive::Error)]
+#[derive(Deserialize, Serialize, derive::Display, derive::Error)]
+#[serde(rename_all = "snake_case")]
 #[display("field {field}: {problem}")]
 pub struct Invalid {
     /// Field.
@@ -54,10 +59,14 @@
 
 /// Position in the platform's sequence of changes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Deserialize, Serialize)]
+#[serde(transparent)]
 pub struct Revision(pub u64);
 
 /// All records of a kind at one revision.
 #[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
 pub struct Listing {
     /// Names and records.
     pub records: Vec<(Arc<str>, Record)>,
@@ -70,6 +79,8 @@
 
 /// Changes after a revision.
 #[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
 pub struct Changes {
     /// Changed records, oldest first.
     pub changes: Vec<Change>,
@@ -117,8 +128,12 @@
         since: Revision,
     ) -> impl Future<Output = Result<Changes, Error>> + Send;
 
+    /// Asks for something small at a small price, to learn whether the platform answers at all. The
+    /// platform may keep the connections of an instance that it no longer answers.
+    fn check(&self) -> impl Future<Output = Result<(), Error>> + Send;
+
     /// Registers an instance of the tier, or renews what it registered before.
-    fn register(&self, own: &Member) -> impl Future<Output = Result<Registration, Error>> + Send;
+    fn register(&self, own: &Member) -> impl Future<Output = Result<(), Error>> + Send;
 
     /// Lists the registered instances. The list may be seconds old.
     fn members(&self) -> impl Future<Output = Result<Vec<Member>, Error>> + Send;
--- a/crates/marigoldloom_catalog/tests/follower.rs
+++ b/crates/marigoldloom_catalog/tests/follower.rs
@@ -1,184 +1,47 @@
 //! Guards what an instance believes while the platform is away, slow or forgetful.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+mod support;
+
+use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use marigoldloom_catalog::catalog::Place;
-use marigoldloom_catalog::configuration::{Backend, Configuration, Limits, Route, Service};
-use marigoldloom_catalog::fleet::{self, Member, Registration};
-use marigoldloom_catalog::follower::{self, Latest};
-use marigoldloom_catalog::replica::Replica;
-use marigoldloom_catalog::source::{
-    Change, Changes, Error, Invalid, Kind, Listing, Record, Revision, Source,
-};
-use marigoldloom_catalog::view;
-use marigoldloom_routing::home;
+use marigoldloom_catalog::feed::{Feed, Known, News};
+use marigoldloom_catalog::fleet::{self, Member};
+use marigoldloom_catalog::follower::{self, Latest, Sources};
+use marigoldloom_catalog::relay::{self, Roster};
+use marigoldloom_catalog::source::{Invalid, Kind, Record};
 use marigoldloom_runtime::runtime::Runtime;
 use marigoldloom_testkit::virtual_runtime::{self, VirtualRuntime};
+use support::{Fake, configuration, member, replica, seen};
 
-/// How long a watch without news is held.
-const HOLD: Duration = Duration::from_secs(10);
-
-/// A platform that can be away and cut watches.
+/// No other instance answers.
 #[derive(Clone)]
-struct Fake {
-    rt: VirtualRuntime,
-    state: Arc<Mutex<State>>,
-}
-
-#[derive(Default)]
-struct State {
-    away: bool,
-    /// Watches report nothing, as during a loss of history.
-    mute: bool,
-    /// Counts up to end the watches that are held.
-    cut: u64,
-    lists: u32,
-    registered: BTreeSet<String>,
-    revision: u64,
-    records: BTreeMap<(Kind, Arc<str>), Record>,
-    log: VecDeque<(u64, Kind, Change)>,
-}
+struct Alone;
 
-impl Fake {
-    fn new(rt: VirtualRuntime) -> Self {
-        Self {
-            rt,
-            state: Arc::default(),
-        }
-    }
-
-    fn set(&self, kind: Kind, name: &str, record: Option<Record>) {
-        let mut state = self.state.lock().unwrap();
-        state.revision += 1;
-        let key = (kind, Arc::from(name));
-        match &record {
-            Some(record) => state.records.insert(key, record.clone()),
-            None => state.records.remove(&key),
-        };
-        let entry = (state.revision, kind, (Arc::from(name), record));
-        state.log.push_back(entry);
-    }
-
-    fn with<T>(&self, change: impl FnOnce(&mut State) -> T) -> T {
-        change(&mut self.state.lock().unwrap())
-    }
-
-    fn unreachable() -> Error {
-        Error::Unreachable {
-            reason: "away".to_owned(),
-        }
+impl relay::Peers for Alone {
+    async fn poll(&self, _peer: &Member, _known: &Known) -> Result<News, relay::Error> {
+        Err(relay::Error::Unreachable)
     }
 }
 
-impl Source for Fake {
-    async fn list(&self, kind: Kind) -> Result<Listing, Error> {
-        self.rt.sleep(Duration::from_millis(4)).await;
-        self.with(|state| {
-            state.lists += 1;
-            if state.away {
-                return Err(Self::unreachable());
-            }
-            let records = state.records.iter().filter(|((k, _), _)| *k == kind);
-            Ok(Listing {
-                records: records.map(|((_, n), r)| (n.clone(), r.clone())).collect(),
-                revision: Revision(state.revision),
-            })
-        })
-    }
-
-    async fn register(&self, own: &Member) -> Result<Registration, Error> {
-        self.with(|state| {
-            let new = state.registered.insert(own.candidate.name.to_string());
-            match new {
-                _ if state.away => Err(Self::unreachable()),
-                true => Ok(Registration::New),
-                false => Ok(Registration::Known),
-            }
-        })
-    }
-
-    async fn members(&self) -> Result<Vec<Member>, Error> {
-        self.with(|state| match state.away {
-            true => Err(Self::unreachable()),
-            false => Ok(state.registered.iter().map(|name| member(name)).collect()),
-        })
-    }
-
-    async fn watch(&self, kind: Kind, since: Revision) -> Result<Changes, Error> {
-        let end = self.rt.now() + HOLD;
-        let cut = self.with(|s| s.cut);
-        loop {
-            self.rt.sleep(Duration::from_millis(4)).await;
-            let answer = self.with(|state| {
-                if state.away || state.cut > cut {
-                    return Some(Err(Self::unreachable()));
-                }
-                let new = state
-                    .log
-                    .iter()
-                    .filter(|(r, k, _)| *r > since.0 && *k == kind);
-                let changes: Vec<_> = new.map(|(_, _, change)| change.clone()).collect();
-                let revision = Revision(state.revision);
-                let due = !changes.is_empty() && !state.mute || self.rt.now() >= end;
-                due.then_some(Ok(Changes { changes, revision }))
-            });
-            if let Some(answer) = answer {
-                return answer;
-            }
-        }
-    }
-}
-
-fn configuration(version: u64) -> Record {
-    let route = Route {
-        name: Arc::from("search"),
-        host: "a.example".to_owned(),
-        prefix: "/".to_owned(),
-        backend: Backend::Single(Arc::from("index")),
-        idempotent: true,
-        timeout: Duration::from_secs(1),
-        objective: Duration::from_millis(200),
-        attempts: 2,
-        priority: 1,
-        regions: Vec::new(),
-    };
-    let service = Service {
-        connections: 8,
-        cold_rate: 0.0,
-    };
-    Record::Configuration(Box::new(Configuration {
-        version,
-        routes: vec![route],
-        services: BTreeMap::from([(Arc::from("index"), service)]),
-        limits: Limits::default(),
-    }))
-}
-
-fn replica(name: &str, draining: bool) -> Record {
-    Record::Replica(Replica {
-        id: Arc::from(name),
-        service: Arc::from("index"),
-        address: "127.0.0.1:9".parse().unwrap(),
-        domain: Arc::from("north"),
-        version: "v1".to_owned(),
-        slots: 2,
-        draining,
-        warmup: Duration::ZERO,
-        born: None,
-    })
+/// The roster of an instance that knows no other yet.
+fn roster(name: &str) -> Arc<Roster> {
+    Arc::new(Roster::new(member(name).candidate))
 }
 
-/// The version in force and the replicas that take new work.
-fn seen(latest: &Latest) -> Option<(u64, Vec<String>)> {
-    let view = latest.get()?;
-    let key = view::backend_key(&[Arc::from("index")], &[]);
-    let service = view.topology.service(&key)?;
-    let snapshot = service.pin(&service.record.active)?;
-    let replicas = service.shards(&snapshot)?.replicas(0);
-    let names = replicas.iter().map(|r| r.target.name.to_string());
-    Some((view.version, names.collect()))
+/// The sources of an instance that is alone.
+fn sources(fake: &Fake) -> Sources<Fake, Alone> {
+    let own = member("a");
+    let roster = Roster::new(own.candidate.clone());
+    roster.set_members(&[own]);
+    Sources {
+        platform: fake.clone(),
+        peers: Alone,
+        roster: Arc::new(roster),
+        feed: Arc::new(Feed::default()),
+    }
 }
 
 /// Runs `check` against an instance that follows a fake with one configuration and two replicas.
@@ -197,7 +60,7 @@
         };
         let latest = Latest::default();
         let views = latest.clone();
-        let follow = follower::follow(rt.clone(), fake.clone(), place, move |view| {
+        let follow = follower::follow(rt.clone(), sources(&fake), place, move |view| {
             views.set(Arc::new(view));
         });
         rt.spawn(follow);
@@ -334,7 +197,7 @@
         let views = latest.clone();
         rt.spawn(follower::follow(
             rt.clone(),
-            fake.clone(),
+            sources(&fake),
             place,
             move |v| views.set(Arc::new(v)),
         ));
@@ -347,17 +210,6 @@
     });
 }
 
-fn member(name: &str) -> Member {
-    Member {
-        candidate: home::Candidate {
-            name: Arc::from(name),
-            domain: Arc::from("north"),
-        },
-        address: "127.0.0.1:9".parse().unwrap(),
-        capacity: 0.25,
-    }
-}
-
 /// Guards against limits that are divided by too few instances, and against an instance that
 /// gives up to register because the platform is away when it starts.
 #[test]
@@ -369,7 +221,13 @@
         for name in ["a", "b", "c"] {
             let counts = Arc::clone(&counts);
             let apply = move |all: Vec<Member>| counts.lock().unwrap().push(all.len());
-            rt.spawn(fleet::follow(rt.clone(), fake.clone(), member(name), apply));
+            rt.spawn(fleet::follow(
+                rt.clone(),
+                fake.clone(),
+                member(name),
+                roster(name),
+                apply,
+            ));
         }
         rt.sleep(Duration::from_secs(5)).await;
         assert!(counts.lock().unwrap().is_empty());
@@ -393,7 +251,13 @@
         let counts = Arc::new(Mutex::new(Vec::new()));
         let counted = Arc::clone(&counts);
         let apply = move |all: Vec<Member>| counted.lock().unwrap().push(all.len());
-        rt.spawn(fleet::follow(rt.clone(), fake, member("a"), apply));
+        rt.spawn(fleet::follow(
+            rt.clone(),
+            fake,
+            member("a"),
+            roster("a"),
+            apply,
+        ));
         rt.sleep(Duration::from_millis(100)).await;
         assert_eq!(*counts.lock().unwrap(), [3]);
     });
--- a/crates/marigoldloom_front/src/front.rs
+++ b/crates/marigoldloom_front/src/front.rs
@@ -9,6 +9,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use marigoldloom_catalog::configuration::{Backend, Limits, Route, Scatter, Share};
+use marigoldloom_catalog::feed::Feed;
 use marigoldloom_catalog::follower::Latest;
 use marigoldloom_catalog::view::{self, View};
 use marigoldloom_query::answer::{Answer, Part, Reason};
@@ -30,6 +31,7 @@
 use crate::homes::Homes;
 use crate::listener::Handler;
 use crate::merge;
+use crate::records;
 
 /// Time that an answer takes to the caller: the way there, and a wait for the processor.
 const ANSWER_TRAVEL: Duration = Duration::from_millis(10);
@@ -60,6 +62,7 @@
     dialect: D,
     latest: Latest,
     homes: Arc<Homes<R>>,
+    feed: Arc<Feed>,
     /// Part of a request's objective that is spent before and after its work here.
     margin: Duration,
 }
@@ -113,6 +116,7 @@
         dialect: D,
         latest: Latest,
         homes: Arc<Homes<R>>,
+        feed: Arc<Feed>,
         capacity: f64,
     ) -> Self {
         Self {
@@ -122,13 +126,14 @@
                 dialect,
                 latest,
                 homes,
+                feed,
                 margin: OBJECTIVE_TRAVEL + REQUEST_WORK.div_f64(capacity),
             }),
             inner: false,
         }
     }
 
-    /// The same front end for queries that other instances forward.
+    /// The same front end for other instances, which forward queries and ask for records.
     pub(crate) fn inner(&self) -> Self {
         Self {
             inner: true,
@@ -383,6 +388,10 @@
     }
 
     async fn handle(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        if self.inner && request.uri().path() == records::PATH {
+            let (rt, feed) = (&self.shared.rt, &self.shared.feed);
+            return records::answer(rt, feed, request.into_body()).await;
+        }
         match self.arrive(request).await {
             Ok(arrival) => {
                 let mut response = self.answer(&arrival).await;
--- a/crates/marigoldloom_front/src/instance.rs
+++ b/crates/marigoldloom_front/src/instance.rs
@@ -13,8 +13,10 @@
 use hyper::body::Incoming;
 use marigoldloom_catalog::catalog::Place;
 use marigoldloom_catalog::configuration::Limits;
+use marigoldloom_catalog::feed::Feed;
 use marigoldloom_catalog::fleet;
-use marigoldloom_catalog::follower::{self, Latest};
+use marigoldloom_catalog::follower::{self, Latest, Sources};
+use marigoldloom_catalog::relay::Roster;
 use marigoldloom_catalog::source::Source;
 use marigoldloom_limits::allowance::{Allowance, Sender};
 use marigoldloom_limits::cold;
@@ -33,6 +35,7 @@
 use crate::front::Front;
 use crate::homes::{self, Homes};
 use crate::listener::{self, Handler, Stop};
+use crate::records::Peers;
 use crate::sharing::Sharing;
 
 /// Time after a stop signal in which new connections are still accepted. The balancer asks
@@ -127,15 +130,23 @@
         homes: Arc::new(homes),
         allowance: settings.allowance,
     });
+    let roster = Arc::new(Roster::new(own.candidate.clone()));
+    let feed = Arc::new(Feed::default());
+    let sources = Sources {
+        platform: source.clone(),
+        peers: Peers::new(rt),
+        roster: Arc::clone(&roster),
+        feed: Arc::clone(&feed),
+    };
     let counted = {
         let sharing = Arc::clone(&sharing);
-        fleet::follow(rt, source.clone(), own, move |members| {
+        fleet::follow(rt, source, own, roster, move |members| {
             sharing.set_members(members);
         })
     };
     rt.spawn(counted);
     let homes = Arc::clone(&sharing.homes);
-    let follow = follower::follow(rt, source, settings.place.clone(), move |view| {
+    let follow = follower::follow(rt, sources, settings.place.clone(), move |view| {
         sharing.set_view(view);
     });
     rt.spawn(follow);
@@ -146,6 +157,7 @@
         dialect,
         latest.clone(),
         homes,
+        feed,
         settings.capacity,
     );
     bind(settings.peers, front.inner(), stop.clone()).await?;
--- a/crates/marigoldloom_front/src/lib.rs
+++ b/crates/marigoldloom_front/src/lib.rs
@@ -18,4 +18,5 @@
 pub mod links;
 pub mod listener;
 pub mod merge;
+mod records;
 mod sharing;
--- /dev/null
+++ b/crates/marigoldloom_front/src/records.rs
@@ -0,0 +1,139 @@
+//! Asks other instances for the platform's records, and answers them.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::CONTENT_TYPE;
+use http::{HeaderValue, Method, Request, Response, StatusCode, Uri};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use marigoldloom_catalog::feed::{Feed, Known, News};
+use marigoldloom_catalog::fleet::Member;
+use marigoldloom_catalog::relay::{self, POLL_WAIT};
+use marigoldloom_http::pool;
+use marigoldloom_runtime::runtime::{self, Runtime};
+
+use crate::links::{self, Link};
+
+/// Path of the question for records.
+pub(crate) const PATH: &str = "/marigoldloom/records";
+
+/// Time for the answer to a question, beside what the other instance holds it.
+const ANSWER_LIMIT: Duration = Duration::from_millis(750);
+
+/// Time to open a connection to an instance of the same failure domain.
+const CONNECT_LIMIT: Duration = Duration::from_millis(150);
+
+/// How long a connection may stay idle between two questions.
+const IDLE_LIMIT: Duration = Duration::from_secs(30);
+
+/// Largest question in bytes.
+const QUESTION_LIMIT: usize = 4 * 1024;
+
+/// Largest answer in bytes: ten times the records of the largest deployment planned.
+const RECORDS_LIMIT: usize = 64 * 1024 * 1024;
+
+/// Asks other instances for records. Clones share the connections.
+#[derive(Clone)]
+pub(crate) struct Peers<R> {
+    rt: R,
+    pools: Arc<Mutex<BTreeMap<SocketAddr, pool::Pool<Link>>>>,
+}
+
+impl<R: Runtime> Peers<R> {
+    /// Creates a client without connections.
+    pub(crate) fn new(rt: R) -> Self {
+        Self {
+            rt,
+            pools: Arc::default(),
+        }
+    }
+
+    fn pool(&self, address: SocketAddr) -> pool::Pool<Link> {
+        let mut pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
+        let pool = pools.entry(address).or_insert_with(|| {
+            let settings = pool::Settings {
+                connections: 1,
+                opening: 1,
+                connect: CONNECT_LIMIT,
+                idle: IDLE_LIMIT,
+                reply: RECORDS_LIMIT,
+            };
+            pool::Pool::new(address, settings)
+        });
+        pool.clone()
+    }
+
+    async fn exchange(&self, peer: &Member, known: &Known) -> Option<(StatusCode, Bytes)> {
+        let question = serde_json::to_vec(known)
+            .inspect_err(|error| tracing::warn!(%error, "a question for records can't be written"))
+            .ok()?;
+        let question = Bytes::from(question);
+        let request = || {
+            let mut request = Request::new(Full::new(question.clone()));
+            *request.method_mut() = Method::POST;
+            *request.uri_mut() = Uri::from_static(PATH);
+            request
+        };
+        let pool = self.pool(peer.address);
+        let (response, lease) = links::send(&pool, || ANSWER_LIMIT, request).await.ok()?;
+        let (head, body) = response.into_parts();
+        let body = Limited::new(body, RECORDS_LIMIT).collect().await.ok()?;
+        lease.keep();
+        Some((head.status, body.to_bytes()))
+    }
+}
+
+impl<R: Runtime> relay::Peers for Peers<R> {
+    async fn poll(&self, peer: &Member, known: &Known) -> Result<News, relay::Error> {
+        let exchange = self.exchange(peer, known);
+        let answer = runtime::timeout(&self.rt, POLL_WAIT + ANSWER_LIMIT, exchange).await;
+        match answer {
+            Ok(Some((StatusCode::OK, body))) => serde_json::from_slice(&body).map_err(|error| {
+                tracing::warn!(instance = %peer.candidate.name, %error, "records can't be read");
+                relay::Error::Unreachable
+            }),
+            Ok(Some((StatusCode::SERVICE_UNAVAILABLE, _))) => Err(relay::Error::Blind),
+            Ok(_) | Err(_) => Err(relay::Error::Unreachable),
+        }
+    }
+}
+
+/// Answers another instance's question for records.
+pub(crate) async fn answer(
+    rt: &impl Runtime,
+    feed: &Feed,
+    question: Incoming,
+) -> Response<Full<Bytes>> {
+    let question = Limited::new(question, QUESTION_LIMIT).collect().await;
+    let question = question.ok().map(http_body_util::Collected::to_bytes);
+    let known = question.and_then(|q| serde_json::from_slice::<Known>(&q).ok());
+    let Some(known) = known else {
+        tracing::warn!("a question for records can't be read");
+        return status(StatusCode::BAD_REQUEST);
+    };
+    let Some(news) = feed.poll(rt, &known, POLL_WAIT).await else {
+        return status(StatusCode::SERVICE_UNAVAILABLE);
+    };
+    match serde_json::to_vec(&news) {
+        Ok(body) => {
+            let mut response = Response::new(Full::new(Bytes::from(body)));
+            let json = HeaderValue::from_static("application/json");
+            response.headers_mut().insert(CONTENT_TYPE, json);
+            response
+        }
+        Err(error) => {
+            tracing::warn!(%error, "records can't be written");
+            status(StatusCode::INTERNAL_SERVER_ERROR)
+        }
+    }
+}
+
+fn status(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = status;
+    response
+}
