--- a/crates/marigoldloom_catalog/src/feed.rs
+++ b/crates/marigoldloom_catalog/src/feed.rs
@@ -30,6 +30,13 @@
 }
 
 impl Batch {
+    fn is_empty(&self) -> bool {
+        match self {
+            Self::All(_) => false,
+            Self::Some(changes) => changes.changes.is_empty(),
+        }
+    }
+
     /// Revision up to which the kind is known with it.
     pub const fn revision(&self) -> Revision {
         match self {
@@ -197,12 +204,9 @@
                 let later = self.records.iter().filter(|(_, (at, _))| *at > known);
                 let changes = later.map(|(name, (_, record))| (Arc::clone(name), record.clone()));
                 let changes: Vec<_> = changes.collect();
-                (!changes.is_empty()).then(|| {
-                    Batch::Some(Changes {
-                        changes,
-                        revision: self.complete,
-                    })
-                })
+                let revision = self.complete;
+                let batch = Batch::Some(Changes { changes, revision });
+                (!batch.is_empty()).then_some(batch)
             }
             _ => {
                 let present = self.records.iter();
