--- a/crates/marigoldloom_front/src/decisions.rs
+++ b/crates/marigoldloom_front/src/decisions.rs
@@ -1,13 +1,26 @@
-//! Logs what the engine decides.
+//! Logs and counts what the engine does.
 
 use marigoldloom_query::hooks::{Attempt, Decision, Observer, Purpose};
+use marigoldloom_telemetry::metrics::Metrics;
 
 /// Writes one line for each decision of the engine, and one for each attempt that failed.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Decisions;
+#[derive(Clone, Debug)]
+pub struct Decisions {
+    metrics: Metrics,
+}
+
+impl Decisions {
+    /// Counts attempts in `metrics`.
+    pub const fn new(metrics: Metrics) -> Self {
+        Self { metrics }
+    }
+}
 
 impl Observer for Decisions {
     fn attempted(&self, attempt: &Attempt<'_>) {
+        let reason = purpose(attempt.purpose);
+        let ok = attempt.failure.is_none();
+        self.metrics.subquery(attempt.service, reason, ok);
         let Some(failure) = attempt.failure else {
             return;
         };
@@ -15,7 +28,7 @@
             request = attempt.request,
             upstream = attempt.upstream,
             service = attempt.service,
-            purpose = purpose(attempt.purpose),
+            purpose = reason,
             latency_ms = attempt.latency.as_millis(),
             reason = %failure,
             "attempt failed"
--- a/crates/marigoldloom_front/src/front.rs
+++ b/crates/marigoldloom_front/src/front.rs
@@ -21,6 +21,7 @@
 use marigoldloom_runtime::runtime::Runtime;
 use marigoldloom_runtime::scope;
 use marigoldloom_runtime::time::{self, Timestamp};
+use marigoldloom_telemetry::metrics::{Metrics, RequestLabels};
 use marigoldloom_upstream::message::{Call, RequestId};
 use marigoldloom_upstream::upstream::Upstream;
 use xxhash_rust::xxh3;
@@ -56,15 +57,18 @@
     inner: bool,
 }
 
-struct Shared<R, U, H, D> {
-    rt: R,
-    engine: Engine<R, U, H>,
-    dialect: D,
-    latest: Latest,
-    homes: Arc<Homes<R>>,
-    feed: Arc<Feed>,
+/// What a front end works with.
+pub(crate) struct Shared<R, U, H, D> {
+    pub(crate) rt: R,
+    pub(crate) engine: Engine<R, U, H>,
+    pub(crate) dialect: D,
+    /// Where it finds routes.
+    pub(crate) latest: Latest,
+    pub(crate) homes: Arc<Homes<R>>,
+    pub(crate) feed: Arc<Feed>,
+    pub(crate) metrics: Metrics,
     /// Part of a request's objective that is spent before and after its work here.
-    margin: Duration,
+    pub(crate) margin: Duration,
 }
 
 impl<R, U, H, D> Clone for Front<R, U, H, D> {
@@ -76,6 +80,12 @@
     }
 }
 
+/// Part of a request's objective that is spent before and after its work on an instance with so
+/// many cores.
+pub(crate) fn margin(cores: f64) -> Duration {
+    OBJECTIVE_TRAVEL + REQUEST_WORK.div_f64(cores)
+}
+
 /// One request on its way through the front end.
 struct Arrival {
     at: Timestamp,
@@ -109,26 +119,10 @@
 }
 
 impl<R: Runtime, U: Upstream, H: Hooks, D: Dialect> Front<R, U, H, D> {
-    /// Creates a front end that finds routes in `latest` and has `capacity` cores.
-    pub(crate) fn new(
-        rt: R,
-        engine: Engine<R, U, H>,
-        dialect: D,
-        latest: Latest,
-        homes: Arc<Homes<R>>,
-        feed: Arc<Feed>,
-        capacity: f64,
-    ) -> Self {
+    /// Creates a front end for callers.
+    pub(crate) fn new(shared: Shared<R, U, H, D>) -> Self {
         Self {
-            shared: Arc::new(Shared {
-                rt,
-                engine,
-                dialect,
-                latest,
-                homes,
-                feed,
-                margin: OBJECTIVE_TRAVEL + REQUEST_WORK.div_f64(capacity),
-            }),
+            shared: Arc::new(shared),
             inner: false,
         }
     }
@@ -332,6 +326,11 @@
     fn explain(&self, arrival: &Arrival, answer: &Answer) {
         let elapsed = self.shared.rt.now().since(arrival.at);
         let coverage = &answer.coverage;
+        let total = usize::try_from(coverage.total).unwrap_or(usize::MAX);
+        let class = class(arrival.route.priority);
+        self.shared
+            .metrics
+            .coverage(TENANT, class, coverage.answered.len(), total);
         if coverage.full() && elapsed <= arrival.route.objective {
             return;
         }
@@ -351,6 +350,17 @@
         );
     }
 
+    /// Counts a caller's request.
+    fn count(&self, arrival: &Arrival, status: StatusCode, latency: Duration) {
+        let labels = RequestLabels {
+            tenant: TENANT,
+            class: class(arrival.route.priority),
+            service: &arrival.route.name,
+            outcome: status.as_str(),
+        };
+        self.shared.metrics.request(&labels, latency);
+    }
+
     fn refuse(&self, arrival: &Arrival, refusal: &Refusal) -> Response<Full<Bytes>> {
         let status = status(refusal);
         tracing::info!(
@@ -395,9 +405,10 @@
         match self.arrive(request).await {
             Ok(arrival) => {
                 let mut response = self.answer(&arrival).await;
-                if arrival.forwarded {
-                    let worked = self.shared.rt.now().since(arrival.at);
-                    forward::set_worked(response.headers_mut(), worked);
+                let worked = self.shared.rt.now().since(arrival.at);
+                match arrival.forwarded {
+                    true => forward::set_worked(response.headers_mut(), worked),
+                    false => self.count(&arrival, response.status(), worked),
                 }
                 response
             }
--- a/crates/marigoldloom_front/src/instance.rs
+++ b/crates/marigoldloom_front/src/instance.rs
@@ -26,13 +26,15 @@
 use marigoldloom_runtime::async_std_runtime::AsyncStd;
 use marigoldloom_runtime::runtime::Runtime;
 use marigoldloom_runtime::scope::Scope;
+use marigoldloom_telemetry::log::Dropped;
+use marigoldloom_telemetry::metrics::{self, Metrics};
 use signal_hook::consts::signal;
 use signal_hook_async_std::Signals;
 
 use crate::client::{self, Client};
 use crate::decisions::Decisions;
 use crate::dialect::Dialect;
-use crate::front::Front;
+use crate::front::{self, Front};
 use crate::homes::{self, Homes};
 use crate::listener::{self, Handler, Stop};
 use crate::records::Peers;
@@ -45,9 +47,15 @@
 /// Part of the time between the stop signal and the kill that is kept for the exit.
 const EXIT_MARGIN: Duration = Duration::from_millis(300);
 
+/// Time between two reports of log lines that were not written.
+const DROPPED_PERIOD: Duration = Duration::from_secs(10);
+
 /// Time between two looks whether all connections are closed.
 const STOP_POLL: Duration = Duration::from_millis(20);
 
+/// Path of metrics.
+const METRICS_PATH: &str = "/metrics";
+
 /// Latency quantile after which a subquery is hedged.
 const HEDGE_QUANTILE: f64 = 0.9;
 
@@ -64,6 +72,8 @@
     pub readiness: SocketAddr,
     /// Path of that question.
     pub readiness_path: &'static str,
+    /// Where operators read metrics.
+    pub metrics: SocketAddr,
     /// Where the instance is.
     pub place: Place,
     /// Time between the stop signal and the kill.
@@ -78,9 +88,10 @@
 
 /// Why an instance can't run.
 #[derive(Debug)]
-#[derive(derive::Display, derive::Error)]
+#[derive(derive::Display, derive::Error, derive::From)]
 pub enum Error {
     /// An address can't be bound.
+    #[from(skip)]
     #[display("{address} can't be bound: {error}")]
     Bind {
         /// Address.
@@ -89,11 +100,15 @@
         error: io::Error,
     },
     /// Signals can't be handled.
+    #[from(skip)]
     #[display("signals can't be handled: {_0}")]
     Signals(io::Error),
+    /// Metrics can't be set up.
+    #[display("{_0}")]
+    Metrics(metrics::Error),
 }
 
-/// Runs an instance until it is told to stop.
+/// Runs an instance until it is told to stop. `dropped` gives the log lines that were not written.
 ///
 /// # Errors
 ///
@@ -102,15 +117,17 @@
     settings: Settings,
     source: S,
     dialect: D,
+    dropped: impl Fn() -> Dropped + Send + 'static,
 ) -> Result<(), Error> {
     let rt = AsyncStd::new();
     let signals = Signals::new([signal::SIGTERM, signal::SIGINT, signal::SIGHUP]);
     let signals = signals.map_err(Error::Signals)?;
+    let metrics = Metrics::new()?;
     let client = Client::new(rt, dialect.clone(), settings.client.clone());
     let parts = hooks::Parts {
         versions: hooks::Active,
         leases: cold::Lone,
-        observer: Decisions,
+        observer: Decisions::new(metrics.clone()),
     };
     let engine = Engine::new(rt, client.clone(), parts, engine_settings(&settings));
     let latest = Latest::default();
@@ -151,15 +168,16 @@
     });
     rt.spawn(follow);
     let stop = Stop::default();
-    let front = Front::new(
+    let front = Front::new(front::Shared {
         rt,
         engine,
         dialect,
-        latest.clone(),
+        latest: latest.clone(),
         homes,
         feed,
-        settings.capacity,
-    );
+        metrics: metrics.clone(),
+        margin: front::margin(settings.capacity),
+    });
     bind(settings.peers, front.inner(), stop.clone()).await?;
     bind(settings.callers, front, stop.clone()).await?;
     let readiness = Readiness {
@@ -168,7 +186,14 @@
         closing: stop.closing.clone(),
     };
     bind(settings.readiness, readiness, Stop::default()).await?;
-    tracing::info!(callers = %settings.callers, readiness = %settings.readiness, "started");
+    bind(settings.metrics, Figures(metrics), Stop::default()).await?;
+    rt.spawn(report_dropped(rt, dropped));
+    tracing::info!(
+        callers = %settings.callers,
+        readiness = %settings.readiness,
+        metrics = %settings.metrics,
+        "started"
+    );
     await_stop(signals).await;
     leave(&rt, &settings, &stop).await;
     Ok(())
@@ -202,6 +227,23 @@
     }
 }
 
+/// Logs how many lines were not written.
+async fn report_dropped(rt: impl Runtime, dropped: impl Fn() -> Dropped) {
+    let mut last = Dropped::default();
+    loop {
+        rt.sleep(DROPPED_PERIOD).await;
+        let now = dropped();
+        if now != last {
+            tracing::warn!(
+                limited = now.limited - last.limited,
+                full = now.full - last.full,
+                "log lines were dropped"
+            );
+            last = now;
+        }
+    }
+}
+
 /// Leaves the balancer's rotation, answers what is running and returns.
 async fn leave(rt: &impl Runtime, settings: &Settings, stop: &Stop) {
     stop.closing.cancel();
@@ -239,3 +281,27 @@
         response
     }
 }
+
+/// Answers questions for metrics.
+#[derive(Clone)]
+struct Figures(Metrics);
+
+impl Handler for Figures {
+    fn limits(&self) -> Limits {
+        Limits::default()
+    }
+
+    async fn handle(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let (status, body) = match self.0.text() {
+            _ if request.uri().path() != METRICS_PATH => (StatusCode::NOT_FOUND, Vec::new()),
+            Ok(text) => (StatusCode::OK, text),
+            Err(error) => {
+                tracing::error!(%error, "metrics can't be encoded");
+                (StatusCode::INTERNAL_SERVER_ERROR, Vec::new())
+            }
+        };
+        let mut response = Response::new(Full::new(Bytes::from(body)));
+        *response.status_mut() = status;
+        response
+    }
+}
