Let a latency estimate fall to the least latency of late instead of zero

Cause: an estimate without samples halved each 10 s without end, so that each replica in another region soon seemed faster than the near one and was asked again at 16 or 40 ms, for its bytes' price. Change: the estimate falls to the least latency seen lately (which rises by 2% of what a sample lies above it). Tests of routing and query and the policy bench's bounds pass.

--- a/crates/marigoldloom_routing/src/health.rs
+++ b/crates/marigoldloom_routing/src/health.rs
@@ -27,8 +27,11 @@
 /// Weight of a new sample in the latency estimate.
 const SAMPLE_WEIGHT: f64 = 0.2;
 
-/// Time in which an estimate without new samples halves, so that a straggler
-/// that has recovered is tried again.
+/// Weight of a sample above the least latency of late in that latency.
+const BASE_WEIGHT: f64 = 0.02;
+
+/// Time in which what an estimate has beyond the least latency of late halves without new
+/// samples, so that a straggler that has recovered is tried again.
 const HALF_LIFE: Duration = Duration::from_secs(10);
 
 /// No process restarts faster than this. An upstream that was not heard for longer may
@@ -193,6 +196,8 @@
     running: Vec<Timestamp>,
     held: Vec<Timestamp>,
     latency: f64,
+    /// Least latency of late, to which the estimate falls without new samples.
+    base: f64,
     sampled: Timestamp,
     failing: f64,
     failures: u32,
@@ -229,6 +234,7 @@
             running: Vec::new(),
             held: Vec::new(),
             latency: 0.0,
+            base: 0.0,
             sampled: now,
             failing: 0.0,
             failures: 0,
@@ -461,7 +467,7 @@
 
     fn estimate(&self, now: Timestamp) -> f64 {
         let idle = now.since(self.sampled).as_secs_f64() / HALF_LIFE.as_secs_f64();
-        self.latency * 0.5_f64.powf(idle)
+        self.base + (self.latency - self.base) * 0.5_f64.powf(idle)
     }
 
     fn sample(&mut self, now: Timestamp, nanos: f64) {
@@ -469,6 +475,10 @@
             0.0 => nanos,
             _ => self.estimate(now) * (1.0 - SAMPLE_WEIGHT) + nanos * SAMPLE_WEIGHT,
         };
+        self.base = match self.base {
+            0.0 => nanos,
+            base => nanos.min(base + (nanos - base) * BASE_WEIGHT),
+        };
         self.sampled = now;
     }
 
