Split what grew: latency estimate, prospects of a shard, endpoints of an instance

Cause: health.rs, shard.rs and the start of an instance had grown past what one reads at a time; the tests of the choice repeated a candidate of twelve fields. Change: health/estimate.rs, query's prospect.rs, front's endpoints.rs; instance::run starts what follows the platform in one function. Behaviour unchanged.

--- a/crates/marigoldloom_front/src/instance.rs
+++ b/crates/marigoldloom_front/src/instance.rs
@@ -5,14 +5,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use derive_more::derive;
 use futures::StreamExt;
-use http::{Request, Response, StatusCode};
-use http_body_util::Full;
-use hyper::body::Incoming;
 use marigoldloom_catalog::catalog::Place;
-use marigoldloom_catalog::configuration::Limits;
 use marigoldloom_catalog::feed::Feed;
 use marigoldloom_catalog::fleet;
 use marigoldloom_catalog::follower::{self, Latest, Sources};
@@ -21,11 +16,10 @@
 use marigoldloom_limits::allowance::{Allowance, Sender};
 use marigoldloom_limits::cold;
 use marigoldloom_query::engine::{self, Engine};
-use marigoldloom_query::hooks;
+use marigoldloom_query::hooks::{self, Hooks};
 use marigoldloom_routing::{health, home};
 use marigoldloom_runtime::async_std_runtime::AsyncStd;
 use marigoldloom_runtime::runtime::Runtime;
-use marigoldloom_runtime::scope::Scope;
 use marigoldloom_telemetry::log::Dropped;
 use marigoldloom_telemetry::metrics::{self, Metrics};
 use signal_hook::consts::signal;
@@ -34,6 +28,7 @@
 use crate::client::{self, Client};
 use crate::decisions::Decisions;
 use crate::dialect::Dialect;
+use crate::endpoints::{Figures, Readiness};
 use crate::front::{self, Front};
 use crate::homes::{self, Homes};
 use crate::listener::{self, Handler, Stop};
@@ -53,9 +48,6 @@
 /// Time between two looks whether all connections are closed.
 const STOP_POLL: Duration = Duration::from_millis(20);
 
-/// Path of metrics.
-const METRICS_PATH: &str = "/metrics";
-
 /// Latency quantile after which a subquery is hedged.
 const HEDGE_QUANTILE: f64 = 0.9;
 
@@ -130,50 +122,24 @@
         observer: Decisions::new(metrics.clone()),
     };
     let engine = Engine::new(rt, client.clone(), parts, engine_settings(&settings));
-    let latest = Latest::default();
-    let own = fleet::Member {
-        candidate: home::Candidate {
-            name: Arc::clone(&settings.name),
-            domain: Arc::clone(&settings.place.domain),
-        },
-        address: settings.peers,
-        capacity: settings.capacity,
-    };
+    let own = member(&settings);
     let homes = Homes::new(rt, own.candidate.clone(), settings.place.clone());
     let sharing = Arc::new(Sharing {
         engine: engine.clone(),
         client,
-        latest: latest.clone(),
+        latest: Latest::default(),
         homes: Arc::new(homes),
         allowance: settings.allowance,
     });
-    let roster = Arc::new(Roster::new(own.candidate.clone()));
-    let feed = Arc::new(Feed::default());
-    let sources = Sources {
-        platform: source.clone(),
-        peers: Peers::new(rt),
-        roster: Arc::clone(&roster),
-        feed: Arc::clone(&feed),
-    };
-    let counted = {
-        let sharing = Arc::clone(&sharing);
-        fleet::follow(rt, source, own, roster, move |members| {
-            sharing.set_members(members);
-        })
-    };
-    rt.spawn(counted);
-    let homes = Arc::clone(&sharing.homes);
-    let follow = follower::follow(rt, sources, settings.place.clone(), move |view| {
-        sharing.set_view(view);
-    });
-    rt.spawn(follow);
+    let feed = follow(rt, source, own, &settings.place, &sharing);
     let stop = Stop::default();
+    let latest = sharing.latest.clone();
     let front = Front::new(front::Shared {
         rt,
         engine,
         dialect,
         latest: latest.clone(),
-        homes,
+        homes: Arc::clone(&sharing.homes),
         feed,
         metrics: metrics.clone(),
         margin: front::margin(settings.capacity),
@@ -199,6 +165,49 @@
     Ok(())
 }
 
+/// This instance as others see it.
+fn member(settings: &Settings) -> fleet::Member {
+    fleet::Member {
+        candidate: home::Candidate {
+            name: Arc::clone(&settings.name),
+            domain: Arc::clone(&settings.place.domain),
+        },
+        address: settings.peers,
+        capacity: settings.capacity,
+    }
+}
+
+/// Starts to follow the instances and the platform's records, and puts both in force. Returns
+/// the records as other instances get them from here.
+fn follow<S, D, H>(
+    rt: AsyncStd,
+    source: S,
+    own: fleet::Member,
+    place: &Place,
+    sharing: &Arc<Sharing<AsyncStd, D, H>>,
+) -> Arc<Feed>
+where
+    S: Source,
+    D: Dialect,
+    H: Hooks,
+{
+    let roster = Arc::new(Roster::new(own.candidate.clone()));
+    let feed = Arc::new(Feed::default());
+    let sources = Sources {
+        platform: source.clone(),
+        peers: Peers::new(rt),
+        roster: Arc::clone(&roster),
+        feed: Arc::clone(&feed),
+    };
+    let counted = Arc::clone(sharing);
+    let apply = move |members| counted.set_members(members);
+    rt.spawn(fleet::follow(rt, source, own, roster, apply));
+    let viewed = Arc::clone(sharing);
+    let apply = move |view| viewed.set_view(view);
+    rt.spawn(follower::follow(rt, sources, place.clone(), apply));
+    feed
+}
+
 fn engine_settings(settings: &Settings) -> engine::Settings {
     engine::Settings {
         quantile: HEDGE_QUANTILE,
@@ -256,52 +265,3 @@
     }
     tracing::info!(connections = stop.connections(), "stopped");
 }
-
-/// Says whether the instance takes requests.
-#[derive(Clone)]
-struct Readiness {
-    path: &'static str,
-    latest: Latest,
-    closing: Scope,
-}
-
-impl Handler for Readiness {
-    fn limits(&self) -> Limits {
-        Limits::default()
-    }
-
-    async fn handle(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
-        let ready = !self.closing.is_cancelled() && self.latest.get().is_some();
-        let mut response = Response::new(Full::new(Bytes::new()));
-        *response.status_mut() = match request.uri().path() {
-            path if path != self.path => StatusCode::NOT_FOUND,
-            _ if ready => StatusCode::OK,
-            _ => StatusCode::SERVICE_UNAVAILABLE,
-        };
-        response
-    }
-}
-
-/// Answers questions for metrics.
-#[derive(Clone)]
-struct Figures(Metrics);
-
-impl Handler for Figures {
-    fn limits(&self) -> Limits {
-        Limits::default()
-    }
-
-    async fn handle(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
-        let (status, body) = match self.0.text() {
-            _ if request.uri().path() != METRICS_PATH => (StatusCode::NOT_FOUND, Vec::new()),
-            Ok(text) => (StatusCode::OK, text),
-            Err(error) => {
-                tracing::error!(%error, "metrics can't be encoded");
-                (StatusCode::INTERNAL_SERVER_ERROR, Vec::new())
-            }
-        };
-        let mut response = Response::new(Full::new(Bytes::from(body)));
-        *response.status_mut() = status;
-        response
-    }
-}
--- a/crates/marigoldloom_front/src/lib.rs
+++ b/crates/marigoldloom_front/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod client;
 pub mod decisions;
 pub mod dialect;
+mod endpoints;
 mod forward;
 pub mod front;
 pub mod headers;
--- a/crates/marigoldloom_query/src/lib.rs
+++ b/crates/marigoldloom_query/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod engine;
 mod gather;
 pub mod hooks;
+mod prospect;
 pub mod refusal;
 pub mod request;
 mod shard;
--- a/crates/marigoldloom_query/src/shard.rs
+++ b/crates/marigoldloom_query/src/shard.rs
@@ -11,7 +11,7 @@
 use futures::stream::{FuturesUnordered, StreamExt};
 use marigoldloom_limits::fingerprint;
 use marigoldloom_records::service;
-use marigoldloom_routing::{choice, health, topology};
+use marigoldloom_routing::choice;
 use marigoldloom_runtime::runtime::{self, Runtime};
 use marigoldloom_runtime::time::Timestamp;
 use marigoldloom_telemetry::event;
@@ -22,6 +22,7 @@
 use crate::attempt;
 use crate::engine;
 use crate::hooks::{Hooks, Observer, Purpose};
+use crate::prospect::{Outlook, Prospect};
 use crate::request;
 use crate::state;
 
@@ -82,29 +83,12 @@
     ran: u32,
     /// The failure that an upstream answered with, if that is all there is.
     reply: Option<message::Reply>,
-    tried: BTreeSet<Arc<str>>,
-    gone: BTreeSet<Arc<str>>,
+    pub(crate) tried: BTreeSet<Arc<str>>,
+    pub(crate) gone: BTreeSet<Arc<str>>,
     last: Option<Reason>,
     barred: bool,
 }
 
-/// Where a subquery may go at present.
-enum Outlook {
-    Chosen(attempt::Choice),
-    Wait(Reason, Vec<event_listener::EventListener>),
-    Never(Reason),
-}
-
-/// A replica with what the choice needs.
-struct Prospect {
-    replica: Arc<topology::Replica>,
-    health: Arc<health::Health>,
-    view: health::View,
-    cold: u32,
-    sharers: u32,
-    until: Timestamp,
-}
-
 /// What a race of attempts brought.
 enum Step {
     Ended(Arc<str>, Result<message::Reply, upstream::Error>),
@@ -311,53 +295,6 @@
         }
     }
 
-    fn outlook(&self, shard: u32, tries: &Tries) -> Outlook {
-        let all = self.prospects(shard, &tries.gone);
-        let fresh: Vec<_> = all
-            .iter()
-            .filter(|o| !tries.tried.contains(&o.replica.target.name))
-            .collect();
-        let options = match fresh.is_empty() {
-            true => all.iter().collect(),
-            false => fresh,
-        };
-        let Some(topology) = self.core.topology() else {
-            return Outlook::Never(Reason::NoReplica);
-        };
-        let candidates: Vec<_> = options.iter().map(|o| o.candidate()).collect();
-        let chosen = choice::choose(&candidates, || self.core.rt.random());
-        match chosen {
-            Some(i) => Outlook::Chosen(options[i].choice()),
-            None => self.blocked(&options, &candidates, &topology),
-        }
-    }
-
-    /// Why no candidate takes the subquery now.
-    fn blocked(
-        &self,
-        prospects: &[&Prospect],
-        candidates: &[choice::Candidate<'_>],
-        topology: &topology::Topology,
-    ) -> Outlook {
-        let service = topology.service(&self.request.service);
-        let held = service.is_some_and(|s| s.shards(&self.snapshot).is_some());
-        let cold = candidates.iter().all(|c| c.view.cold);
-        match candidates.is_empty() {
-            true if held => Outlook::Never(Reason::NoReplica),
-            true => Outlook::Never(Reason::SnapshotGone),
-            false if choice::all_ejected(candidates) => Outlook::Never(Reason::Ejected),
-            false => {
-                let freed = prospects.iter().map(|p| p.health.freed());
-                let reason = if cold {
-                    Reason::Cold
-                } else {
-                    Reason::Overloaded
-                };
-                Outlook::Wait(reason, freed.collect())
-            }
-        }
-    }
-
     /// Reserves a place for a hedge, if the budget and a ready replica allow it.
     fn hedge(&self, shard: u32, tries: &mut Tries) -> Option<attempt::Place<R, U, H>> {
         let untried = self.prospects(shard, &tries.tried);
@@ -401,59 +338,6 @@
         granted
     }
 
-    /// Whether a shard has several replicas and all of them are ready.
-    pub(crate) fn is_spare(&self, shard: u32) -> bool {
-        let prospects = self.prospects(shard, &BTreeSet::new());
-        let ready = |p: &Prospect| p.view.standing == health::Standing::Ready;
-        prospects.len() > 1 && prospects.iter().all(ready)
-    }
-
-    /// Whether a shard has a replica in the own failure domain.
-    pub(crate) fn is_near(&self, shard: u32) -> bool {
-        let prospects = self.prospects(shard, &BTreeSet::new());
-        let near = |p: &Prospect| p.replica.proximity == topology::Proximity::Domain;
-        prospects.iter().any(near)
-    }
-
-    /// The usable replicas of a shard in the topology in force, without `excluded`.
-    fn prospects(&self, shard: u32, excluded: &BTreeSet<Arc<str>>) -> Vec<Prospect> {
-        let topology = self.core.topology();
-        let service = topology
-            .as_ref()
-            .and_then(|t| t.service(&self.request.service));
-        let shards = service.and_then(|s| s.shards(&self.snapshot));
-        let replicas = shards.map_or(&[][..], |s| s.replicas(shard));
-        let wanted = replicas
-            .iter()
-            .filter(|r| !excluded.contains(&r.target.name));
-        wanted.filter_map(|r| self.prospect(r)).collect()
-    }
-
-    fn prospect(&self, replica: &Arc<topology::Replica>) -> Option<Prospect> {
-        let name = &replica.target.name;
-        let now = self.core.rt.now();
-        let health = self.core.health.get(name)?;
-        let view = health.view(now);
-        let leases = self.core.hooks.leases();
-        let grant = match view.cold {
-            true => {
-                let slots = replica.cold_slots;
-                self.core
-                    .ramps
-                    .grant(leases, name, slots, now, self.deadline)
-            }
-            false => None,
-        };
-        Some(Prospect {
-            replica: Arc::clone(replica),
-            health,
-            view,
-            cold: grant.map_or(0, |g| g.room),
-            sharers: self.service.sharers(),
-            until: grant.map_or(self.deadline, |g| g.until),
-        })
-    }
-
     /// Waits for the first attempt to end, or until the next hedge is due.
     async fn step(
         &self,
@@ -534,24 +418,3 @@
         self.deadline.since(self.core.rt.now())
     }
 }
-
-impl Prospect {
-    fn candidate(&self) -> choice::Candidate<'_> {
-        choice::Candidate {
-            replica: &self.replica,
-            view: self.view,
-            cold: self.cold,
-            sharers: self.sharers,
-        }
-    }
-
-    fn choice(&self) -> attempt::Choice {
-        attempt::Choice {
-            replica: Arc::clone(&self.replica),
-            health: Arc::clone(&self.health),
-            view: self.view,
-            room: self.candidate().room(),
-            until: self.until,
-        }
-    }
-}
--- a/crates/marigoldloom_routing/src/health.rs
+++ b/crates/marigoldloom_routing/src/health.rs
@@ -7,8 +7,11 @@
 use marigoldloom_runtime::time::Timestamp;
 use marigoldloom_upstream::{message, upstream};
 
+mod estimate;
 pub mod table;
 
+use estimate::Estimate;
+
 /// Failures or lost races in a row that eject an upstream.
 const EJECT_AFTER: u32 = 3;
 
@@ -24,15 +27,8 @@
 /// Time in which an upstream's load report counts.
 const REPORT_LIFE: Duration = Duration::from_millis(500);
 
-/// Weight of a new sample in the latency estimate.
-const SAMPLE_WEIGHT: f64 = 0.2;
-
-/// Weight of a sample above the least latency of late in that latency.
-const BASE_WEIGHT: f64 = 0.02;
-
-/// Time in which what an estimate has beyond the least latency of late halves without new
-/// samples, so that a straggler that has recovered is tried again.
-const HALF_LIFE: Duration = Duration::from_secs(10);
+/// Weight of a new result in the share of failures.
+const RESULT_WEIGHT: f64 = 0.2;
 
 /// No process restarts faster than this. An upstream that was not heard for longer may
 /// have restarted unnoticed.
@@ -195,10 +191,7 @@
     observation: Observation,
     running: Vec<Timestamp>,
     held: Vec<Timestamp>,
-    latency: f64,
-    /// Least latency of late, to which the estimate falls without new samples.
-    base: f64,
-    sampled: Timestamp,
+    latency: Estimate,
     failing: f64,
     failures: u32,
     ejections: u32,
@@ -233,9 +226,7 @@
             observation,
             running: Vec::new(),
             held: Vec::new(),
-            latency: 0.0,
-            base: 0.0,
-            sampled: now,
+            latency: Estimate::new(now),
             failing: 0.0,
             failures: 0,
             ejections: 0,
@@ -305,8 +296,8 @@
         warmup: &Warmup,
     ) -> Vec<Change> {
         let mut inner = self.end(sent);
-        inner.sample(now, now.since(sent).as_nanos() as f64);
-        inner.failing *= 1.0 - SAMPLE_WEIGHT;
+        inner.latency.sample(now, now.since(sent));
+        inner.failing *= 1.0 - RESULT_WEIGHT;
         inner.failures = 0;
         inner.ejections = 0;
         inner.absent = false;
@@ -329,7 +320,7 @@
         error: &upstream::Error,
     ) -> Vec<Change> {
         let mut inner = self.end(sent);
-        inner.failing += (1.0 - inner.failing) * SAMPLE_WEIGHT;
+        inner.failing += (1.0 - inner.failing) * RESULT_WEIGHT;
         if error.answered() {
             inner.heard = Some(now);
         }
@@ -364,8 +355,8 @@
         inner.hold(now, deadline);
         match now.since(sent) {
             e if e >= patience => {
-                let slow = (e.as_nanos() as f64).max(inner.estimate(now));
-                inner.sample(now, slow);
+                let slow = e.max(inner.latency.at(now));
+                inner.latency.sample(now, slow);
                 inner.miss(now)
             }
             _ => None,
@@ -417,7 +408,7 @@
             in_flight: u32::try_from(self.running.len())
                 .unwrap_or(u32::MAX)
                 .saturating_add(held),
-            latency: Duration::from_nanos(self.estimate(now) as u64),
+            latency: self.latency.at(now),
             waiting: self.waiting(now),
             failing: self.failing,
             standing: self.standing(now),
@@ -465,23 +456,6 @@
         }
     }
 
-    fn estimate(&self, now: Timestamp) -> f64 {
-        let idle = now.since(self.sampled).as_secs_f64() / HALF_LIFE.as_secs_f64();
-        self.base + (self.latency - self.base) * 0.5_f64.powf(idle)
-    }
-
-    fn sample(&mut self, now: Timestamp, nanos: f64) {
-        self.latency = match self.latency {
-            0.0 => nanos,
-            _ => self.estimate(now) * (1.0 - SAMPLE_WEIGHT) + nanos * SAMPLE_WEIGHT,
-        };
-        self.base = match self.base {
-            0.0 => nanos,
-            base => nanos.min(base + (nanos - base) * BASE_WEIGHT),
-        };
-        self.sampled = now;
-    }
-
     fn reported(&self, now: Timestamp) -> f64 {
         match self.report {
             Some((at, report)) if now.since(at) < REPORT_LIFE && report.capacity > 0 => {
--- a/crates/marigoldloom_routing/tests/choice.rs
+++ b/crates/marigoldloom_routing/tests/choice.rs
@@ -30,6 +30,35 @@
     }
 }
 
+/// A replica at a distance.
+fn at(proximity: topology::Proximity) -> topology::Replica {
+    topology::Replica {
+        proximity,
+        ..replica()
+    }
+}
+
+/// A candidate without requests in flight that has answered in `latency`.
+fn candidate(replica: &topology::Replica, latency: u64, standing: Standing) -> Candidate<'_> {
+    Candidate {
+        replica,
+        view: View {
+            waiting: Duration::ZERO,
+            failing: 0.0,
+            start: None,
+            in_flight: 0,
+            latency: Duration::from_millis(latency),
+            standing,
+            cold: false,
+            shedding: false,
+            confirmed: true,
+            reported: 0.0,
+        },
+        cold: 2,
+        sharers: 1,
+    }
+}
+
 struct Case {
     name: &'static str,
     standing: Standing,
@@ -105,23 +134,11 @@
     let replica = replica();
     for case in cases {
         for in_flight in 0..10 {
-            let candidate = Candidate {
-                replica: &replica,
-                view: View {
-                    waiting: Duration::ZERO,
-                    failing: 0.0,
-                    start: None,
-                    in_flight,
-                    latency: Duration::from_millis(20),
-                    standing: case.standing,
-                    cold: case.cold,
-                    shedding: false,
-                    confirmed: case.confirmed,
-                    reported: 0.0,
-                },
-                cold: 2,
-                sharers: case.sharers,
-            };
+            let mut candidate = candidate(&replica, 20, case.standing);
+            candidate.sharers = case.sharers;
+            candidate.view.in_flight = in_flight;
+            candidate.view.cold = case.cold;
+            candidate.view.confirmed = case.confirmed;
             let chosen = choice::choose(&[candidate], || 1);
             let expected = (in_flight < case.room).then_some(0);
             assert_eq!(chosen, expected, "{}: {in_flight} in flight", case.name);
@@ -133,24 +150,7 @@
 #[test]
 fn ejected_replica_is_the_last_resort() {
     let replica = replica();
-    let candidate = |standing| Candidate {
-        replica: &replica,
-        view: View {
-            waiting: Duration::ZERO,
-            failing: 0.0,
-            start: None,
-            in_flight: 0,
-            latency: Duration::from_millis(20),
-            standing,
-            cold: false,
-            shedding: false,
-            confirmed: true,
-            reported: 0.0,
-        },
-        cold: 2,
-        sharers: 1,
-    };
-    let candidates = [candidate(Standing::Ejected), candidate(Standing::Ready)];
+    let candidates = [Standing::Ejected, Standing::Ready].map(|s| candidate(&replica, 20, s));
     for random in 0..10 {
         assert_eq!(choice::choose(&candidates, || random), Some(1));
     }
@@ -160,31 +160,11 @@
 /// regard to distance would miss the only near one each third time.
 #[test]
 fn near_replica_is_always_considered() {
-    let at = |proximity| topology::Replica {
-        proximity,
-        ..replica()
-    };
     let remote = at(topology::Proximity::Remote);
     for proximity in [topology::Proximity::Domain, topology::Proximity::Region] {
         let near = at(proximity);
-        let candidate = |replica| Candidate {
-            replica,
-            view: View {
-                waiting: Duration::ZERO,
-                failing: 0.0,
-                start: None,
-                in_flight: 0,
-                latency: Duration::from_millis(20),
-                standing: Standing::Ready,
-                cold: false,
-                shedding: false,
-                confirmed: true,
-                reported: 0.0,
-            },
-            cold: 2,
-            sharers: 1,
-        };
-        let candidates = [&remote, &remote, &near, &remote].map(candidate);
+        let replicas = [&remote, &remote, &near, &remote];
+        let candidates = replicas.map(|r| candidate(r, 20, Standing::Ready));
         for random in 0..100 {
             assert_eq!(choice::choose(&candidates, || random), Some(2));
         }
@@ -195,28 +175,7 @@
 /// starts low and falls while it isn't asked.
 #[test]
 fn nearest_candidate_that_answers_is_chosen() {
-    let at = |proximity| topology::Replica {
-        proximity,
-        ..replica()
-    };
     let replicas = topology::Proximity::ALL.map(at);
-    let candidate = |index: usize, latency, standing| Candidate {
-        replica: &replicas[index],
-        view: View {
-            waiting: Duration::ZERO,
-            failing: 0.0,
-            start: None,
-            in_flight: 0,
-            latency: Duration::from_millis(latency),
-            standing,
-            cold: false,
-            shedding: false,
-            confirmed: true,
-            reported: 0.0,
-        },
-        cold: 2,
-        sharers: 1,
-    };
     struct Case {
         name: &'static str,
         standings: [Standing; 3],
@@ -247,7 +206,8 @@
     for case in cases {
         // The farther, the faster it seems.
         let latencies = [100, 10, 1];
-        let candidates = [0, 1, 2].map(|i| candidate(i, latencies[i], case.standings[i]));
+        let candidates =
+            [0, 1, 2].map(|i| candidate(&replicas[i], latencies[i], case.standings[i]));
         for random in 0..10 {
             let chosen = choice::choose_nearest(&candidates, || random);
             assert_eq!(chosen, case.chosen, "{}", case.name);
