Order the queries of the stand-in's tests by what has arrived instead of by time

Beside 24 busy loops on 8 cores 16 of 40 runs of the file failed the same way in the drain test and 2 in the test of slots.

Ruled out: a fault of the stand-in; it admits by what runs, and the failing bursts did not overlap.

Queries of a burst now run 500 ms, and each is sent when the one before has arrived; drain, restart and cancellation wait for the state they test. Expectations are unchanged.

--- a/crates/marigoldloom_standin/tests/upstream.rs
+++ b/crates/marigoldloom_standin/tests/upstream.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use async_std::task;
-use futures::future;
+use futures::future::{self, Either};
 use http_types::{Method, StatusCode};
 use marigoldloom_http::{client as connection, message as http};
 use marigoldloom_records::service;
@@ -16,7 +16,20 @@
 use marigoldloom_upstream::upstream::{Error, Refusal, Target, Upstream};
 use marigoldloom_upstream::{client, message};
 
-const DEADLINE: Duration = Duration::from_millis(200);
+/// Far above what an answer takes on a busy machine.
+const DEADLINE: Duration = Duration::from_secs(3);
+
+/// Time that a query runs where others are to arrive meanwhile.
+const LONG_RUN_MS: f64 = 500.0;
+
+/// Factor by which a fault makes a query run past its deadline.
+const PAST_DEADLINE: f64 = 500.0;
+
+/// Time for something that is sure to happen.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// Time between two looks whether it has happened.
+const POLL: Duration = Duration::from_millis(1);
 
 fn settings() -> Settings {
     Settings {
@@ -34,6 +47,13 @@
     }
 }
 
+/// As [`settings`], with queries that run long enough for others to arrive meanwhile.
+fn overlapping() -> Settings {
+    let mut settings = settings();
+    settings.service.median_ms = LONG_RUN_MS;
+    settings
+}
+
 struct Fixture {
     rt: AsyncStd,
     standin: upstream::Upstream,
@@ -81,11 +101,39 @@
         self.client.send(&self.target, &subquery).await
     }
 
-    async fn burst(&self, count: u128) -> Vec<Result<message::Reply, Error>> {
-        future::join_all((0..count).map(|id| self.send(id, "q"))).await
+    /// Waits until the stand-in takes connections, or takes none.
+    async fn until_open(&self, open: bool) {
+        let address = self.standin.address();
+        let wait = async {
+            while connection::open(address, DEADLINE).await.is_ok() != open {
+                task::sleep(POLL).await;
+            }
+        };
+        async_std::future::timeout(PATIENCE, wait).await.unwrap();
+    }
+
+    /// Sends queries that overlap; each arrives before the next one is sent.
+    async fn burst(&self, count: u32) -> Vec<Result<message::Reply, Error>> {
+        let before = self.standin.counters().received;
+        let sends = (0..count).map(|number| async move {
+            let arrived = || self.standin.counters().received >= before + u64::from(number);
+            until(arrived).await;
+            self.send(number.into(), "q").await
+        });
+        future::join_all(sends).await
     }
 }
 
+/// Waits until `condition` holds.
+async fn until(condition: impl Fn() -> bool) {
+    let wait = async {
+        while !condition() {
+            task::sleep(POLL).await;
+        }
+    };
+    async_std::future::timeout(PATIENCE, wait).await.unwrap();
+}
+
 fn refusal(result: &Result<message::Reply, Error>) -> Option<Refusal> {
     match result {
         Err(Error::Refused { refusal, .. }) => Some(*refusal),
@@ -117,7 +165,7 @@
         case(
             "straggler",
             Faults {
-                slow: 50.0,
+                slow: PAST_DEADLINE,
                 ..none()
             },
             |r| *r == Err(Error::TimedOut),
@@ -141,7 +189,7 @@
         case(
             "late",
             Faults {
-                late_ms: 400,
+                late_ms: 10_000,
                 ..none()
             },
             |r| *r == Err(Error::TimedOut),
@@ -242,7 +290,7 @@
             cold: true,
             slots: 4,
             warm_after: 4,
-            ..settings()
+            ..overlapping()
         };
         let steady = Fixture::new(cold.clone()).await;
         for _ in 0..2 {
@@ -274,7 +322,7 @@
 #[test]
 fn slots_queue_and_shedding_are_bounded() {
     task::block_on(async {
-        let fixture = Fixture::new(settings()).await;
+        let fixture = Fixture::new(overlapping()).await;
         let results = fixture.burst(7).await;
         let shed = count(&results, |e| {
             matches!(
@@ -299,10 +347,10 @@
         let mut settings = settings();
         settings.service.median_ms = 10_000.0;
         let fixture = Fixture::new(settings).await;
-        let mut queued = fixture.subquery(2, "q");
-        queued.deadline = fixture.rt.now() + DEADLINE / 2;
         let queued = async {
-            task::sleep(Duration::from_millis(20)).await;
+            until(|| fixture.standin.running() == 2).await;
+            let mut queued = fixture.subquery(2, "q");
+            queued.deadline = fixture.rt.now() + DEADLINE / 6;
             fixture.client.send(&fixture.target, &queued).await
         };
         let (ran, queued) = future::join(fixture.burst(2), queued).await;
@@ -310,10 +358,14 @@
         // Either side may notice first that the deadline passed in the queue.
         let expired = refusal(&queued) == Some(Refusal::Expired);
         assert!(expired || queued == Err(Error::TimedOut), "{queued:?}");
-        let short = Duration::from_millis(50);
-        let dropped = async_std::future::timeout(short, fixture.send(9, "q")).await;
-        assert!(dropped.is_err());
-        task::sleep(short).await;
+        until(|| fixture.standin.running() == 0).await;
+        let sent = Box::pin(fixture.send(9, "q"));
+        let runs = Box::pin(until(|| fixture.standin.running() == 1));
+        match future::select(sent, runs).await {
+            Either::Right(((), sent)) => drop(sent),
+            Either::Left((result, _)) => panic!("the query ended early: {result:?}"),
+        }
+        until(|| fixture.standin.running() == 0).await;
         let counters = fixture.standin.counters();
         assert_eq!((fixture.standin.running(), counters.ran), (0, 3));
         assert_eq!(counters.overdue + counters.cancelled, 3);
@@ -344,16 +396,16 @@
 fn restart_is_cold_and_has_another_start_id() {
     task::block_on(async {
         let restarting = Settings {
-            restart_ms: Some(50),
+            restart_ms: Some(1_000),
             ..settings()
         };
         let fixture = Fixture::new(restarting).await;
         let before = fixture.send(1, "q").await.unwrap().report;
         assert_eq!(before.state, message::State::Ready);
         fixture.standin.trigger(Event::Crash);
-        task::sleep(Duration::from_millis(10)).await;
+        fixture.until_open(false).await;
         assert_eq!(fixture.send(2, "q").await, Err(Error::Unreachable));
-        task::sleep(Duration::from_millis(100)).await;
+        fixture.until_open(true).await;
         let after = fixture.send(3, "q").await.unwrap().report;
         assert_eq!(after.state, message::State::Cold);
         assert_ne!(after.start_id, before.start_id);
@@ -367,10 +419,10 @@
 #[test]
 fn drain_refuses_new_queries_and_finishes_running_ones() {
     task::block_on(async {
-        let fixture = Fixture::new(settings()).await;
+        let fixture = Fixture::new(overlapping()).await;
         let running = fixture.send(1, "q");
         let after = async {
-            task::sleep(Duration::from_millis(10)).await;
+            until(|| fixture.standin.running() == 1).await;
             fixture.standin.drain();
             fixture.send(2, "q").await
         };
