--- a/crates/marigoldloom_standin/src/users/replica.rs
+++ b/crates/marigoldloom_standin/src/users/replica.rs
@@ -2,12 +2,17 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::pin;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use async_channel::{Receiver, Sender};
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
-use futures::{AsyncReadExt, AsyncWriteExt};
+use futures::{AsyncReadExt, AsyncWriteExt, future};
+
+use super::caller;
 
 /// Bytes read at a time.
 const CHUNK: usize = 4096;
@@ -22,6 +27,17 @@
 }
 
 impl Received {
+    /// Id of the request.
+    pub fn id(&self) -> Option<&str> {
+        self.header("attempt-id")
+    }
+
+    /// For how long the sender waits, if it says so.
+    pub fn patience(&self) -> Option<Duration> {
+        let millis = self.header("deadline-ms")?.parse().ok()?;
+        Some(Duration::from_millis(millis))
+    }
+
     /// The request line.
     pub fn line(&self) -> &str {
         self.head.lines().next().unwrap_or_default()
@@ -29,10 +45,7 @@
 
     /// The value of a header.
     pub fn header(&self, name: &str) -> Option<&str> {
-        let fields = self.head.lines().skip(1).filter_map(|l| l.split_once(':'));
-        let mut fields = fields.map(|(n, value)| (n.trim(), value.trim()));
-        let found = fields.find(|(n, _)| n.eq_ignore_ascii_case(name));
-        found.map(|(_, value)| value)
+        caller::header(&self.head, name)
     }
 }
 
@@ -63,12 +76,14 @@
     }
 }
 
-/// A running replica. Clones share what it got.
+/// A replica, which runs until it crashes. Clones share what it got.
 #[derive(Clone)]
 pub struct Replica {
     address: SocketAddr,
     received: Arc<Mutex<Vec<Received>>>,
-    opened: Arc<Mutex<u32>>,
+    opened: Arc<AtomicU32>,
+    /// Closed when the replica ends.
+    end: Sender<()>,
 }
 
 impl Replica {
@@ -81,19 +96,37 @@
     where
         F: Fn(&Received) -> Reaction + Clone + Send + 'static,
     {
-        let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
+        Self::start_at(SocketAddr::from(([127, 0, 0, 1], 0)), react).await
+    }
+
+    /// Starts a replica at `address`.
+    ///
+    /// # Errors
+    ///
+    /// The error of the operating system if the address can't be bound.
+    pub async fn start_at<F>(address: SocketAddr, react: F) -> io::Result<Self>
+    where
+        F: Fn(&Received) -> Reaction + Clone + Send + 'static,
+    {
+        let listener = TcpListener::bind(address).await?;
+        let (end, ended) = async_channel::bounded(1);
         let replica = Self {
             address: listener.local_addr()?,
             received: Arc::default(),
             opened: Arc::default(),
+            end,
         };
-        let shared = replica.clone();
-        task::spawn(async move {
+        let (shared, stop) = (replica.clone(), ended.clone());
+        let accept = async move {
+            // A replica runs on although its handles are dropped.
+            let replica = shared;
             while let Ok((stream, _)) = listener.accept().await {
-                *shared.opened.lock().unwrap_or_else(PoisonError::into_inner) += 1;
-                task::spawn(serve(stream, shared.clone(), react.clone()));
+                replica.opened.fetch_add(1, Ordering::Relaxed);
+                let serve = serve(stream, Arc::clone(&replica.received), react.clone());
+                task::spawn(until_ended(ended.clone(), serve));
             }
-        });
+        };
+        task::spawn(until_ended(stop, accept));
         Ok(replica)
     }
 
@@ -110,19 +143,32 @@
 
     /// Connections so far.
     pub fn opened(&self) -> u32 {
-        *self.opened.lock().unwrap_or_else(PoisonError::into_inner)
+        self.opened.load(Ordering::Relaxed)
     }
+
+    /// Ends it as a crash does: it no longer listens, and its connections are closed.
+    pub fn crash(&self) {
+        self.end.close();
+    }
+}
+
+/// Runs `work` until it is done or the replica ends.
+async fn until_ended(ended: Receiver<()>, work: impl Future<Output = ()>) {
+    let ended = pin::pin!(ended.recv());
+    future::select(pin::pin!(work), ended).await;
 }
 
-async fn serve(mut stream: TcpStream, replica: Replica, react: impl Fn(&Received) -> Reaction) {
+async fn serve(
+    mut stream: TcpStream,
+    received: Arc<Mutex<Vec<Received>>>,
+    react: impl Fn(&Received) -> Reaction,
+) {
     let mut buffer = Vec::new();
     while let Some(request) = read(&mut stream, &mut buffer).await {
         let reaction = react(&request);
         {
-            let received = replica.received.lock();
-            received
-                .unwrap_or_else(PoisonError::into_inner)
-                .push(request);
+            let mut received = received.lock().unwrap_or_else(PoisonError::into_inner);
+            received.push(request);
         }
         task::sleep(reaction.pause).await;
         let written = stream.write_all(&reaction.bytes).await;
--- a/crates/marigoldloom_standin/src/users/store.rs
+++ b/crates/marigoldloom_standin/src/users/store.rs
@@ -40,6 +40,8 @@
     mood: Mood,
     revision: u64,
     objects: BTreeMap<(String, String), Value>,
+    /// Addresses that readers get in place of others.
+    redirects: BTreeMap<String, String>,
     events: Vec<Event>,
     /// Revisions up to this one are forgotten.
     forgotten: u64,
@@ -99,6 +101,13 @@
         }
     }
 
+    /// Makes readers get the address `to` in place of `from`, so that what they send there passes
+    /// by something in between.
+    pub fn redirect(&self, from: SocketAddr, to: SocketAddr) {
+        let mut state = self.state();
+        state.redirects.insert(from.to_string(), to.to_string());
+    }
+
     /// Changes how the store answers.
     pub fn set_mood(&self, mood: Mood) {
         self.state().mood = mood;
@@ -124,6 +133,16 @@
         Response::new(StatusCode::Created)
     }
 
+    /// Replaces an object on behalf of a caller; 404 if it doesn't exist.
+    fn replace(&self, kind: &str, name: &str, body: &Value) -> Response {
+        let key = (kind.to_owned(), name.to_owned());
+        if !self.state().objects.contains_key(&key) {
+            return Response::new(StatusCode::NotFound);
+        }
+        self.put(kind, name, body["spec"].clone());
+        Response::new(StatusCode::Ok)
+    }
+
     /// Names of the objects of a kind.
     pub fn names(&self, kind: &str) -> Vec<String> {
         let state = self.state();
@@ -161,13 +180,26 @@
     fn list(&self, kind: &str, after: Option<&str>) -> Response {
         let of_kind = self.objects.iter().filter(|((k, _), _)| k == kind);
         let names = of_kind.filter(|((_, name), _)| after.is_none_or(|a| name.as_str() > a));
-        let mut items: Vec<_> = names.map(|(_, object)| object).collect();
+        let mut items: Vec<_> = names.map(|(_, object)| self.shown(object)).collect();
         let more = items.len() > PAGE;
         items.truncate(PAGE);
         let body = json!({"items": items, "HasMore": more, "AsOf": self.revision});
         Response::json_body(StatusCode::Ok, &body)
     }
 
+    /// An object as readers get it.
+    fn shown(&self, object: &Value) -> Value {
+        let mut object = object.clone();
+        let fields = object["spec"].as_object_mut();
+        for value in fields.into_iter().flat_map(|f| f.values_mut()) {
+            let to = value.as_str().and_then(|from| self.redirects.get(from));
+            if let Some(to) = to {
+                *value = Value::String(to.clone());
+            }
+        }
+        object
+    }
+
     /// The answer to a watch; none while it is held.
     fn changes(&self, kind: &str, since: u64, due: bool) -> Option<Response> {
         match self.mood {
@@ -180,7 +212,7 @@
             .events
             .iter()
             .filter(new)
-            .map(|e| json!({"Removed": e.removed, "Object": e.object}))
+            .map(|e| json!({"Removed": e.removed, "Object": self.shown(&e.object)}))
             .collect();
         (due || !events.is_empty()).then(|| {
             let body = json!({"events": events, "AsOf": self.revision});
@@ -197,23 +229,27 @@
             state.calls += 1;
             state.mood
         };
-        let Some(kind) = url.path().strip_prefix("/objects/") else {
+        let Some(path) = url.path().strip_prefix("/objects/") else {
             return Response::new(StatusCode::NotFound);
         };
-        match (mood, number(&url, "Watch")) {
-            (Mood::Busy, _) => Response::new(StatusCode::ServiceUnavailable),
-            (Mood::Away, _) => Response::hang_up(),
-            (Mood::Calm, None) if request.method() == Method::Post => {
-                match request.json::<Value>() {
-                    Ok(body) => self.create(kind, &body),
-                    Err(_) => Response::new(StatusCode::BadRequest),
-                }
-            }
-            (Mood::Calm, Some(since)) => {
+        let (kind, name) = path.split_once('/').unwrap_or((path, ""));
+        let body = || request.json::<Value>();
+        match (mood, request.method(), number(&url, "Watch")) {
+            (Mood::Busy, _, _) => Response::new(StatusCode::ServiceUnavailable),
+            (Mood::Away, _, _) => Response::hang_up(),
+            (Mood::Calm, Method::Post, _) => match body() {
+                Ok(body) => self.create(kind, &body),
+                Err(_) => Response::new(StatusCode::BadRequest),
+            },
+            (Mood::Calm, Method::Put, _) => match body() {
+                Ok(body) => self.replace(kind, name, &body),
+                Err(_) => Response::new(StatusCode::BadRequest),
+            },
+            (Mood::Calm, _, Some(since)) => {
                 let wait = Duration::from_millis(number(&url, "WaitMs").unwrap_or_default());
                 self.watch(kind, since, wait).await
             }
-            (Mood::Calm, None) => self.state().list(kind, text(&url, "after").as_deref()),
+            (Mood::Calm, _, None) => self.state().list(kind, text(&url, "after").as_deref()),
         }
     }
 }
