--- a/crates/marigoldloom_soak/src/checks.rs
+++ b/crates/marigoldloom_soak/src/checks.rs
@@ -412,9 +412,10 @@
             let due = run.at > closure.from + bound;
             inside && due && closure.until.is_none_or(|end| run.at < end)
         });
-        let from = closure.from.saturating_sub(CONTACT);
-        let touched = late
-            .filter(|run| undisturbed(record, from, run.at, |s| !matches!(s, Scope::Replica(_))));
+        let touched = late.filter(|run| {
+            let request = record.requests.get(&run.id);
+            request.is_some_and(|r| in_touch(record, r, run.at))
+        });
         found.extend(touched.map(|run| {
             let after = run.at - closure.from;
             let detail = format!("ran on {:?} {after:?} after the word", closure.what);
--- a/crates/marigoldloom_soak/src/plan.rs
+++ b/crates/marigoldloom_soak/src/plan.rs
@@ -19,12 +19,24 @@
 /// Time of a fault, in milliseconds.
 const FAULT_MS: std::ops::Range<u64> = 300..4_000;
 
+/// Shares of the instances that a fault affects, beside one.
+const INSTANCE_SHARES: [f64; 4] = [0.0, 0.0, 0.5, 1.0];
+
+/// Shares of the replicas that a fault affects, beside one.
+const REPLICA_SHARES: [f64; 4] = [0.0, 0.1, 0.3, 0.7];
+
 /// Milliseconds from one planned step to the next in the calm part.
-const CALM_GAP_MS: u64 = 1_500;
+const CALM_GAP_MS: usize = 1_500;
 
-/// Milliseconds from a stop signal to the next planned step: an instance is gone after 6 s at most, and
+/// Milliseconds from the start of the calm part to the first stop: all that comes before it is over.
+const STOPS_AT_MS: u64 = 14_000;
+
+/// Milliseconds from a stop signal to the next step: an instance is gone after 6 s at most, and
 /// callers must still find others.
-const STOP_GAP_MS: u64 = 2_500;
+const STOP_GAP_MS: usize = 2_500;
+
+/// Time of an evacuation in the calm part, in milliseconds. What is sent after 5 s is too late.
+const EVACUATION_MS: u64 = 8_000;
 
 /// Sizes of a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -110,17 +122,17 @@
     },
     /// The store forgets its history.
     Forget,
-    /// A replica crashes and starts again.
+    /// Replicas crash and start again.
     Crash {
         /// Which.
-        replica: usize,
-        /// When it starts again.
+        replicas: Vec<usize>,
+        /// When they start again.
         down_ms: u64,
     },
-    /// A replica misbehaves.
+    /// Replicas misbehave.
     Behave {
         /// Which.
-        replica: usize,
+        replicas: Vec<usize>,
         /// How.
         behaviour: Behaviour,
         /// For how long.
@@ -177,20 +189,8 @@
     });
     let mut trouble: Vec<_> = trouble.collect();
     trouble.sort_by_key(|s| s.at_ms);
-    let mut at_ms = 0;
-    let calm = calm(&mut rng, shape).into_iter().map(|step| {
-        let gap = match step {
-            Step::Stop(_) => STOP_GAP_MS,
-            _ => CALM_GAP_MS,
-        };
-        let timed = Timed { at_ms, step };
-        at_ms += gap;
-        timed
-    });
-    Plan {
-        trouble,
-        calm: calm.collect(),
-    }
+    let calm = calm(&mut rng, shape);
+    Plan { trouble, calm }
 }
 
 fn time(rng: &mut impl Rng) -> u64 {
@@ -237,7 +237,7 @@
     let time_ms = time(rng);
     match rng.random_range(0..16) {
         0 => Step::Kill {
-            instances: several(rng, shape.instances),
+            instances: several(rng, shape.instances, INSTANCE_SHARES),
             down_ms: time_ms / 2,
         },
         1 => Step::Stop(instance),
@@ -259,11 +259,11 @@
         },
         9 => Step::Forget,
         10 => Step::Crash {
-            replica,
+            replicas: several(rng, shape.replicas, REPLICA_SHARES),
             down_ms: time_ms,
         },
         11 | 12 => Step::Behave {
-            replica,
+            replicas: several(rng, shape.replicas, REPLICA_SHARES),
             behaviour: behaviour(rng),
             time_ms,
         },
@@ -280,40 +280,44 @@
     }
 }
 
-/// One instance, or now and then several or all.
-fn several(rng: &mut impl Rng, instances: usize) -> Vec<usize> {
-    let share = match rng.random_range(0..4) {
-        0 => 1.0,
-        1 => 0.5,
-        _ => 0.0,
-    };
-    let one = rng.random_range(0..instances);
-    let chosen = (0..instances).filter(|i| *i == one || rng.random_bool(share));
+/// One of `total`, and others with a probability that is drawn from `shares`.
+fn several(rng: &mut impl Rng, total: usize, shares: [f64; 4]) -> Vec<usize> {
+    let share = shares[rng.random_range(0..shares.len())];
+    let one = rng.random_range(0..total);
+    let chosen = (0..total).filter(|i| *i == one || rng.random_bool(share));
     chosen.collect()
 }
 
-/// Planned work that must not be noticed by callers, in random order.
-fn calm(rng: &mut impl Rng, shape: &Shape) -> Vec<Step> {
+/// Planned work that callers must not notice: first, in random order, what instances must follow
+/// within a time limit, and then stops, after which their instances don't count as in touch.
+fn calm(rng: &mut impl Rng, shape: &Shape) -> Vec<Timed> {
     let instance = rng.random_range(0..shape.instances);
     let configure = |reshard| Step::Configure {
         count: 1,
         gap_ms: 0,
         reshard,
     };
-    let mut steps = vec![
-        Step::Stop(instance),
+    let mut followed = [
         Step::HangUp((instance + 1) % shape.instances),
         configure(false),
         configure(true),
         Step::Leave(rng.random_range(0..shape.replicas)),
         Step::Evacuate {
             domain: rng.random_range(0..shape.domains),
-            time_ms: 6_000,
+            time_ms: EVACUATION_MS,
         },
-        Step::Stop((instance + 2) % shape.instances),
     ];
-    for last in (1..steps.len()).rev() {
-        steps.swap(last, rng.random_range(0..=last));
+    for last in (1..followed.len()).rev() {
+        followed.swap(last, rng.random_range(0..=last));
     }
-    steps
+    let stops = [
+        Step::Stop(instance),
+        configure(rng.random()),
+        Step::Stop((instance + 2) % shape.instances),
+        Step::Leave(rng.random_range(0..shape.replicas)),
+    ];
+    let first = (0..).step_by(CALM_GAP_MS).zip(followed);
+    let second = (STOPS_AT_MS..).step_by(STOP_GAP_MS).zip(stops);
+    let steps = first.chain(second);
+    steps.map(|(at_ms, step)| Timed { at_ms, step }).collect()
 }
--- a/crates/marigoldloom_soak/src/sites.rs
+++ b/crates/marigoldloom_soak/src/sites.rs
@@ -25,8 +25,8 @@
 const WORK_SPREAD_MS: u64 = 24;
 
 /// Time that a replica serves after it has announced that it leaves. The operators state 3 s and
-/// a little longer.
-const DRAIN: Duration = Duration::from_millis(3_500);
+/// a little longer, at times many seconds.
+const DRAIN: Duration = Duration::from_secs(6);
 
 /// Time from the end of a replica to the next use of its address, as the operators state it.
 const REUSE: Duration = Duration::from_secs(2);
--- a/crates/marigoldloom_soak/src/steps.rs
+++ b/crates/marigoldloom_soak/src/steps.rs
@@ -78,17 +78,21 @@
             world.history.settle(disturbance);
             Ok(())
         }
-        Step::Crash { replica, down_ms } => {
+        Step::Crash { replicas, down_ms } => {
             let down = Duration::from_millis(down_ms);
-            world.sites.crash(replica, down).await
+            let crashes = replicas.into_iter().map(|r| world.sites.crash(r, down));
+            future::try_join_all(crashes).await?;
+            Ok(())
         }
         Step::Behave {
-            replica,
+            replicas,
             behaviour,
             time_ms,
         } => {
             let time = Duration::from_millis(time_ms);
-            world.sites.misbehave(replica, behaviour, time).await;
+            let spells = replicas.into_iter();
+            let spells = spells.map(|r| world.sites.misbehave(r, behaviour, time));
+            future::join_all(spells).await;
             Ok(())
         }
         Step::Leave(replica) => world.sites.leave(replica).await,
