Pace requests to cold replicas by the rate that operators state, over all instances

The configuration may state how many requests a second a cold replica bears from all instances together. It was read and not used, so a deployment that states a rate would see cold replicas flooded and crash.

Ruled out: the dispatch leases of the product, which need traffic between instances for each cold replica; and the cold standing of an upstream's health, which is learned from replies that the users' replicas don't give.

A replica carries a pace while it is cold; each instance keeps its part of it (its part of the senders), begins at a random point of the first gap, and counts hedges and retries too.

--- a/crates/marigoldloom_catalog/src/catalog.rs
+++ b/crates/marigoldloom_catalog/src/catalog.rs
@@ -9,7 +9,7 @@
 use crate::configuration::Configuration;
 use crate::replica::Replica;
 use crate::source::{Kind, Record};
-use crate::view::{Inputs, View};
+use crate::view::{Inputs, Seen, View};
 
 /// Time after an outage of the platform in which replicas whose records lapsed meanwhile
 /// announce themselves again. The platform states about 2 s; the rest is the way of the news.
@@ -38,6 +38,8 @@
 #[derive(Debug)]
 struct Entry {
     replica: Replica,
+    /// When it is warm, by what it says of itself.
+    warm: Timestamp,
     /// When the replica counts as gone unless its record comes back.
     expiry: Option<Timestamp>,
 }
@@ -107,7 +109,7 @@
                 }
             }
             (Kind::Configuration, Some(Record::Configuration(new))) => self.configure(*new),
-            (Kind::Replicas, Some(Record::Replica(replica))) => self.announce(replica),
+            (Kind::Replicas, Some(Record::Replica(replica))) => self.announce(replica, now),
             (Kind::Replicas, None) => self.lapse(&name, regained.grace(now)),
             (Kind::Evacuations, Some(Record::Evacuation)) => {
                 tracing::info!(domain = %name, "no new work goes to the failure domain");
@@ -142,8 +144,14 @@
         self.previous = self.current.replace(new);
     }
 
-    fn announce(&mut self, replica: Replica) {
-        let known = self.replicas.get(&replica.id).map(|e| &e.replica);
+    fn announce(&mut self, replica: Replica, now: Timestamp) {
+        let entry = self.replicas.get(&replica.id);
+        let known = entry.map(|e| &e.replica);
+        // The same record once more says nothing new about when it was true.
+        let warm = match entry {
+            Some(entry) if entry.replica == replica => entry.warm,
+            _ => now + replica.warmup,
+        };
         if known.is_none_or(|k| k.draining != replica.draining || k.address != replica.address) {
             tracing::info!(
                 upstream = %replica.id,
@@ -156,6 +164,7 @@
         }
         let entry = Entry {
             replica,
+            warm,
             expiry: None,
         };
         self.replicas.insert(Arc::clone(&entry.replica.id), entry);
@@ -199,8 +208,12 @@
             return None;
         }
         let usable = |r: &Replica| !r.draining && !self.evacuated.contains(&r.domain);
-        let replicas = self.replicas.values().map(|e| &e.replica);
-        let replicas: Vec<_> = replicas.map(|r| (r, usable(r))).collect();
+        let replicas = self.replicas.values().map(|entry| Seen {
+            replica: &entry.replica,
+            warm: entry.warm,
+            usable: usable(&entry.replica),
+        });
+        let replicas: Vec<_> = replicas.collect();
         let inputs = Inputs {
             own: &self.place.domain,
             regions: &self.place.regions,
--- a/crates/marigoldloom_catalog/src/view.rs
+++ b/crates/marigoldloom_catalog/src/view.rs
@@ -2,9 +2,11 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use marigoldloom_records::{record, service};
 use marigoldloom_routing::topology;
+use marigoldloom_runtime::time::Timestamp;
 use marigoldloom_upstream::upstream::Target;
 use xxhash_rust::xxh3;
 
@@ -19,6 +21,10 @@
 /// Requests that a replica takes at a time per slot while it is not known to be warm.
 const UNCONFIRMED_PER_SLOT: u32 = 4;
 
+/// Least rate of requests to a cold replica, in requests a second. Cold starts take seconds, so
+/// that a lower one allows no request either.
+const LEAST_RATE: f64 = 0.01;
+
 /// Routes and replicas at one moment.
 #[derive(Clone, Debug)]
 pub struct View {
@@ -69,16 +75,28 @@
     pub(crate) current: &'a Configuration,
     /// The one before it, whose services running requests still use.
     pub(crate) previous: Option<&'a Configuration>,
-    /// Replicas that exist, with whether they take new work.
-    pub(crate) replicas: &'a [(&'a Replica, bool)],
+    /// Replicas that exist.
+    pub(crate) replicas: &'a [Seen<'a>],
+}
+
+/// A replica at one moment.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Seen<'a> {
+    /// What it says of itself.
+    pub(crate) replica: &'a Replica,
+    /// When it is warm.
+    pub(crate) warm: Timestamp,
+    /// Whether it takes new work.
+    pub(crate) usable: bool,
 }
 
 impl Inputs<'_> {
     pub(crate) fn view(&self) -> View {
         let mut members: BTreeMap<Arc<str>, Vec<Arc<topology::Replica>>> = BTreeMap::new();
-        for (replica, usable) in self.replicas {
-            let list = members.entry(Arc::clone(&replica.service)).or_default();
-            list.push(Arc::new(self.replica(replica, *usable)));
+        for seen in self.replicas {
+            let service = Arc::clone(&seen.replica.service);
+            let list = members.entry(service).or_default();
+            list.push(Arc::new(self.replica(seen)));
         }
         let backends = self.backends();
         let services = backends.iter().map(|(key, backend)| {
@@ -138,8 +156,14 @@
         topology::ServiceView::composed(record, parts.collect())
     }
 
-    fn replica(&self, replica: &Replica, usable: bool) -> topology::Replica {
+    fn replica(&self, seen: &Seen<'_>) -> topology::Replica {
+        let replica = seen.replica;
         let service = self.current.services.get(&replica.service);
+        let rate = service.map_or(0.0, |s| s.cold_rate);
+        let pace = (rate > 0.0 && !replica.warmup.is_zero()).then(|| topology::Pace {
+            gap: Duration::from_secs_f64(rate.max(LEAST_RATE).recip()),
+            until: seen.warm,
+        });
         topology::Replica {
             target: Target {
                 name: Arc::clone(&replica.id),
@@ -154,7 +178,8 @@
             slots: replica.slots.max(1),
             cold_slots: replica.slots.max(1) * UNCONFIRMED_PER_SLOT,
             connections: service.map_or(1, |s| s.connections),
-            usable,
+            pace,
+            usable: seen.usable,
         }
     }
 }
--- a/crates/marigoldloom_front/src/homes.rs
+++ b/crates/marigoldloom_front/src/homes.rs
@@ -116,6 +116,7 @@
             view: home.peer.health.view(now),
             cold: 0,
             sharers: 1,
+            paced: false,
         });
         let candidates: Vec<_> = candidates.collect();
         let chosen = choice::choose_nearest(&candidates, || self.rt.random())?;
@@ -202,6 +203,7 @@
             shards: Vec::new(),
             slots: QUERIES,
             cold_slots: QUERIES,
+            pace: None,
             connections: QUERIES,
             usable: true,
         }
--- a/crates/marigoldloom_front/src/sharing.rs
+++ b/crates/marigoldloom_front/src/sharing.rs
@@ -15,11 +15,12 @@
 use crate::dialect::Dialect;
 use crate::homes::Homes;
 
-/// Part of a replica's connections that its regular senders use together, in percent.
+/// Part of a replica's connections, and of what it bears while it is cold, that its regular senders
+/// use together, in percent.
 const SENDERS_PART: f64 = 100.0;
 
-/// Part of a replica's connections that all other instances use together, in percent. They rarely
-/// open one, while no regular sender takes their requests.
+/// Part that all other instances use together, in percent. They rarely send, while no regular
+/// sender takes their requests.
 const OTHERS_PART: f64 = 5.0;
 
 /// Puts new replicas and new instances in force, with this instance's share of everything.
@@ -59,9 +60,12 @@
             part as usize
         });
         for (key, service) in view.topology.services() {
-            let limits = self.allowance.limits(sender(key));
+            let sender = sender(key);
+            let limits = self.allowance.limits(sender);
+            let pace = sender.part(1.0, SENDERS_PART, OTHERS_PART);
             for part in service.parts() {
                 self.engine.set_budget(part, limits);
+                self.engine.set_pace_part(part, pace);
             }
         }
     }
--- a/crates/marigoldloom_query/src/attempt.rs
+++ b/crates/marigoldloom_query/src/attempt.rs
@@ -52,6 +52,8 @@
     pub(crate) health: Arc<health::Health>,
     pub(crate) view: health::View,
     pub(crate) room: u32,
+    /// Least time from one request of this instance to the next, if the replica is paced.
+    pub(crate) gap: Option<Duration>,
     pub(crate) until: Timestamp,
 }
 
@@ -64,7 +66,9 @@
         patience: Duration,
     ) -> Option<Self> {
         let now = core.rt.now();
-        let taken = choice.health.begin(now, &choice.view, choice.room);
+        let name = &choice.replica.target.name;
+        let due = choice.gap.is_none_or(|gap| core.paces.take(name, now, gap));
+        let taken = due && choice.health.begin(now, &choice.view, choice.room);
         taken.then(|| Self {
             core: Arc::clone(core),
             replica: choice.replica,
--- a/crates/marigoldloom_query/src/engine.rs
+++ b/crates/marigoldloom_query/src/engine.rs
@@ -202,6 +202,12 @@
         self.core.service(service).budget.set_limits(now, limits);
     }
 
+    /// Sets this instance's part of the requests a second that a cold upstream of `service` bears,
+    /// between 0 and 1; all of them until it is set.
+    pub fn set_pace_part(&self, service: &Arc<str>, part: f64) {
+        self.core.service(service).set_pace_part(part);
+    }
+
     /// Attempts at subqueries of `service` since the start.
     pub fn spent(&self, service: &Arc<str>) -> budget::Spent {
         self.core.service(service).budget.spent()
--- a/crates/marigoldloom_query/src/prospect.rs
+++ b/crates/marigoldloom_query/src/prospect.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::time::Duration;
 
 use marigoldloom_routing::{choice, health, topology};
 use marigoldloom_runtime::runtime::Runtime;
@@ -27,6 +28,10 @@
     view: health::View,
     cold: u32,
     sharers: u32,
+    /// Least time from one request of this instance to the next, if the replica is paced.
+    gap: Option<Duration>,
+    /// Whether the pace leaves no request at the moment.
+    paced: bool,
     until: Timestamp,
 }
 
@@ -104,10 +109,10 @@
         let wanted = replicas
             .iter()
             .filter(|r| !excluded.contains(&r.target.name));
-        wanted.filter_map(|r| self.prospect(r)).collect()
+        wanted.filter_map(|r| self.prospect(shard, r)).collect()
     }
 
-    fn prospect(&self, replica: &Arc<topology::Replica>) -> Option<Prospect> {
+    fn prospect(&self, shard: u32, replica: &Arc<topology::Replica>) -> Option<Prospect> {
         let name = &replica.target.name;
         let now = self.core.rt.now();
         let health = self.core.health.get(name)?;
@@ -122,12 +127,20 @@
             }
             false => None,
         };
+        let pace = replica.pace.filter(|pace| pace.until > now);
+        let gap = pace.map(|pace| self.tracked(shard).own_gap(pace.gap));
+        let paced = gap.is_some_and(|gap| {
+            let fraction = || self.core.rt.random() as f64 / u64::MAX as f64;
+            !self.core.paces.is_due(name, now, gap, fraction)
+        });
         Some(Prospect {
             replica: Arc::clone(replica),
             health,
             view,
             cold: grant.map_or(0, |g| g.room),
             sharers: self.service.sharers(),
+            gap,
+            paced,
             until: grant.map_or(self.deadline, |g| g.until),
         })
     }
@@ -141,6 +154,7 @@
             view: self.view,
             cold: self.cold,
             sharers: self.sharers,
+            paced: self.paced,
         }
     }
 
@@ -151,6 +165,7 @@
             health: Arc::clone(&self.health),
             view: self.view,
             room: self.candidate().room(),
+            gap: self.gap,
             until: self.until,
         }
     }
--- a/crates/marigoldloom_query/src/state.rs
+++ b/crates/marigoldloom_query/src/state.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
 use std::time::Duration;
 
-use marigoldloom_limits::{budget, cold, fingerprint};
+use marigoldloom_limits::{budget, cold, fingerprint, pace};
 use marigoldloom_routing::{health, quantile, topology};
 use marigoldloom_runtime::delay;
 use marigoldloom_runtime::runtime::Runtime;
@@ -26,6 +26,9 @@
 /// Time after a crash in which unknown requests to the service run on one shard first.
 const CRASH_MEMORY: Duration = Duration::from_secs(30);
 
+/// All of what a cold upstream bears, in thousandths.
+const WHOLE: u32 = 1_000;
+
 /// Least time between two reports that a service's hedge budget is spent.
 const STOP_REPORT: Duration = Duration::from_secs(10);
 
@@ -37,6 +40,7 @@
     pub(crate) settings: engine::Settings,
     pub(crate) health: health::table::Table,
     pub(crate) ramps: cold::Ramps,
+    pub(crate) paces: pace::Paces,
     pub(crate) ledger: Arc<fingerprint::Ledger>,
     /// How late a query notices that its answer is due, e.g. while replies to others are read.
     pub(crate) lag: delay::Delay,
@@ -56,6 +60,8 @@
     crashed: Mutex<Option<Timestamp>>,
     stopped: Mutex<Option<Timestamp>>,
     sharers: AtomicU32,
+    /// This instance's part of what a cold upstream of the service bears, in thousandths.
+    pace_part: AtomicU32,
 }
 
 impl<R: Runtime, U, H: Hooks> Core<R, U, H> {
@@ -71,6 +77,7 @@
                 ages: settings.losers == engine::Losers::Finish,
             }),
             ramps: cold::Ramps::new(),
+            paces: pace::Paces::new(),
             ledger: Arc::default(),
             lag: delay::Delay::default(),
             vouched: Mutex::default(),
@@ -90,6 +97,7 @@
     /// Puts a topology in force.
     pub(crate) fn apply(&self, topology: Arc<topology::Topology>) {
         let chilled = self.health.follow(self.rt.now(), &topology);
+        self.paces.retain(|name| topology.is_paced(name));
         let mut current = self
             .topology
             .write()
@@ -151,6 +159,7 @@
                 crashed: Mutex::default(),
                 stopped: Mutex::default(),
                 sharers: AtomicU32::new(1),
+                pace_part: AtomicU32::new(WHOLE),
             })
         });
         Arc::clone(service)
@@ -248,6 +257,18 @@
         self.sharers.store(instances, Ordering::Relaxed);
     }
 
+    /// Sets this instance's part of what a cold upstream bears, between 0 and 1.
+    pub(crate) fn set_pace_part(&self, part: f64) {
+        let thousandths = (part * f64::from(WHOLE)) as u32;
+        self.pace_part.store(thousandths.max(1), Ordering::Relaxed);
+    }
+
+    /// Least time between two requests of this instance to a cold upstream, which bears one in
+    /// each `gap` from all instances.
+    pub(crate) fn own_gap(&self, gap: Duration) -> Duration {
+        gap * WHOLE / self.pace_part.load(Ordering::Relaxed)
+    }
+
     /// Time after which a subquery of `route` is hedged.
     pub(crate) fn patience(&self, route: &str, now: Timestamp) -> Duration {
         let tracked = self.latencies.tracker(route).value(now);
--- a/crates/marigoldloom_routing/src/choice.rs
+++ b/crates/marigoldloom_routing/src/choice.rs
@@ -43,6 +43,8 @@
     pub cold: u32,
     /// Instances that send to the replica.
     pub sharers: u32,
+    /// Whether its pace leaves no request at the moment.
+    pub paced: bool,
 }
 
 impl Candidate<'_> {
@@ -68,7 +70,7 @@
     }
 
     fn takes(&self) -> bool {
-        !self.view.shedding && self.view.in_flight < self.room()
+        !self.paced && !self.view.shedding && self.view.in_flight < self.room()
     }
 
     fn ready(&self) -> bool {
--- a/crates/marigoldloom_routing/src/topology.rs
+++ b/crates/marigoldloom_routing/src/topology.rs
@@ -6,8 +6,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::mem;
 use std::sync::Arc;
+use std::time::Duration;
 
 use marigoldloom_records::{failure_domain, instance, record, service, upstream};
+use marigoldloom_runtime::time::Timestamp;
 use marigoldloom_upstream::upstream as protocol;
 
 /// Where an upstream is, as seen from this instance.
@@ -58,10 +60,21 @@
     pub cold_slots: u32,
     /// Connections that it accepts, over all instances.
     pub connections: u32,
+    /// What it bears while it is cold, if operators limit that.
+    pub pace: Option<Pace>,
     /// Whether it takes new work: neither leaving nor in a failure domain that is out.
     pub usable: bool,
 }
 
+/// What a cold upstream bears, over all instances.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Pace {
+    /// Least time between two requests.
+    pub gap: Duration,
+    /// When it is warm.
+    pub until: Timestamp,
+}
+
 /// The usable replicas of one snapshot by shard.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Shards {
@@ -197,6 +210,16 @@
         found.map(|(name, _)| name)
     }
 
+    /// Whether an upstream is cold and bears only so many requests a second.
+    pub fn is_paced(&self, upstream: &str) -> bool {
+        let mut views = self.services.values();
+        views.any(|view| {
+            view.upstreams
+                .get(upstream)
+                .is_some_and(|r| r.pace.is_some())
+        })
+    }
+
     /// All services by name.
     pub fn services(&self) -> &BTreeMap<Arc<str>, Arc<ServiceView>> {
         &self.services
@@ -376,6 +399,7 @@
             shards: record.shards.clone(),
             slots: record.slots,
             cold_slots: record.cold_slots,
+            pace: None,
             connections: record.connections,
             usable: live && !self.out.contains(&record.domain),
         })
--- a/crates/marigoldloom_routing/tests/choice.rs
+++ b/crates/marigoldloom_routing/tests/choice.rs
@@ -25,6 +25,7 @@
         shards: vec![0],
         slots: 2,
         cold_slots: 2,
+        pace: None,
         connections: 30,
         usable: true,
     }
@@ -56,6 +57,7 @@
         },
         cold: 2,
         sharers: 1,
+        paced: false,
     }
 }
 
