Read the settings again on SIGHUP and every 5 s

The platform may rewrite the settings file with or without a signal; until now the file was read at the start only and SIGHUP was answered by a log line.

The retry budget and the time for a stop take effect at once, because they bind while the process runs. Addresses, places and capacity stay until the next start, and the log says that one is needed. A file that can't be used, for example one that is half written, changes nothing.

--- a/crates/marigoldloom_catalog/src/catalog.rs
+++ b/crates/marigoldloom_catalog/src/catalog.rs
@@ -16,7 +16,7 @@
 const LAPSE_GRACE: Duration = Duration::from_millis(2_500);
 
 /// Where an instance is and how its surroundings are named.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Place {
     /// Failure domain of the instance.
     pub domain: Arc<str>,
--- a/crates/marigoldloom_front/src/instance.rs
+++ b/crates/marigoldloom_front/src/instance.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use derive_more::derive;
@@ -19,7 +19,8 @@
 use marigoldloom_query::hooks::{self, Hooks};
 use marigoldloom_routing::{health, home};
 use marigoldloom_runtime::async_std_runtime::AsyncStd;
-use marigoldloom_runtime::runtime::Runtime;
+use marigoldloom_runtime::runtime::{self, Runtime};
+use marigoldloom_runtime::time;
 use marigoldloom_telemetry::log::Dropped;
 use marigoldloom_telemetry::metrics::{self, Metrics};
 use signal_hook::consts::signal;
@@ -45,6 +46,9 @@
 /// Time between two reports of log lines that were not written.
 const DROPPED_PERIOD: Duration = Duration::from_secs(10);
 
+/// Time between two looks whether the settings have changed without a signal.
+const SETTINGS_PERIOD: Duration = Duration::from_secs(5);
+
 /// Time between two looks whether all connections are closed.
 const STOP_POLL: Duration = Duration::from_millis(20);
 
@@ -52,7 +56,7 @@
 const HEDGE_QUANTILE: f64 = 0.9;
 
 /// Settings of an instance.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// Name of the instance, the same for all its processes.
     pub name: Arc<str>,
@@ -100,7 +104,8 @@
     Metrics(metrics::Error),
 }
 
-/// Runs an instance until it is told to stop. `dropped` gives the log lines that were not written.
+/// Runs an instance until it is told to stop. `reread` gives the settings as they are now, and none
+/// if they can't be used; `dropped` gives the log lines that were not written.
 ///
 /// # Errors
 ///
@@ -109,6 +114,7 @@
     settings: Settings,
     source: S,
     dialect: D,
+    reread: impl Fn() -> Option<Settings>,
     dropped: impl Fn() -> Dropped + Send + 'static,
 ) -> Result<(), Error> {
     let rt = AsyncStd::new();
@@ -129,7 +135,7 @@
         client,
         latest: Latest::default(),
         homes: Arc::new(homes),
-        allowance: settings.allowance,
+        allowance: Mutex::new(settings.allowance),
     });
     let feed = follow(rt, source, own, &settings.place, &sharing);
     let stop = Stop::default();
@@ -160,11 +166,47 @@
         metrics = %settings.metrics,
         "started"
     );
-    await_stop(signals).await;
-    leave(&rt, &settings, &stop).await;
+    let mut reload = Reload {
+        read: settings.clone(),
+        settings,
+        reread,
+    };
+    await_stop(&rt, signals, || {
+        if let Some(settings) = reload.look() {
+            sharing.set_allowance(settings.allowance);
+        }
+    })
+    .await;
+    leave(&rt, &reload.settings, &stop).await;
     Ok(())
 }
 
+/// Follows the settings while the instance runs.
+struct Reload<F> {
+    /// In force. Only [`Settings::grace`] and [`Settings::allowance`] change before the next start.
+    settings: Settings,
+    /// As they were read last.
+    read: Settings,
+    reread: F,
+}
+
+impl<F: Fn() -> Option<Settings>> Reload<F> {
+    /// Reads the settings. Returns those in force from now on if any of them has changed.
+    fn look(&mut self) -> Option<&Settings> {
+        let new = (self.reread)().filter(|new| *new != self.read)?;
+        self.settings.grace = new.grace;
+        self.settings.allowance = new.allowance;
+        tracing::info!(
+            grace_ms = time::millis(new.grace),
+            allowance = ?new.allowance,
+            restart_needed = new != self.settings,
+            "settings changed"
+        );
+        self.read = new;
+        Some(&self.settings)
+    }
+}
+
 /// This instance as others see it.
 fn member(settings: &Settings) -> fleet::Member {
     fleet::Member {
@@ -224,14 +266,19 @@
     bound.map_err(|error| Error::Bind { address, error })
 }
 
-async fn await_stop(mut signals: Signals) {
-    while let Some(signal) = signals.next().await {
-        match signal {
-            signal::SIGHUP => tracing::info!("the settings have no part that can change"),
-            _ => {
+/// Waits for a stop signal. Looks for other settings meanwhile, on a signal and now and then.
+async fn await_stop(rt: &impl Runtime, mut signals: Signals, mut reload: impl FnMut()) {
+    loop {
+        match runtime::timeout(rt, SETTINGS_PERIOD, signals.next()).await {
+            Ok(Some(signal::SIGHUP)) => {
+                tracing::info!("asked to read the settings again");
+                reload();
+            }
+            Ok(signal) => {
                 tracing::info!(signal, "stopping");
                 return;
             }
+            Err(_) => reload(),
         }
     }
 }
--- a/crates/marigoldloom_front/src/sharing.rs
+++ b/crates/marigoldloom_front/src/sharing.rs
@@ -1,6 +1,6 @@
 //! Divides what replicas bear, and what operators allow, among the instances that send.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use marigoldloom_catalog::fleet::Member;
 use marigoldloom_catalog::follower::Latest;
@@ -29,7 +29,7 @@
     pub(crate) client: Client<R, D>,
     pub(crate) latest: Latest,
     pub(crate) homes: Arc<Homes<R>>,
-    pub(crate) allowance: Allowance,
+    pub(crate) allowance: Mutex<Allowance>,
 }
 
 impl<R: Runtime, D: Dialect, H: Hooks> Sharing<R, D, H>
@@ -44,6 +44,20 @@
         }
     }
 
+    /// Puts what operators allow in force.
+    pub(crate) fn set_allowance(&self, allowance: Allowance) {
+        *self.allowance() = allowance;
+        if let Some(view) = self.latest.get() {
+            self.divide(&view);
+        }
+    }
+
+    fn allowance(&self) -> MutexGuard<'_, Allowance> {
+        self.allowance
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Puts new routes and replicas in force.
     pub(crate) fn set_view(&self, view: View) {
         let view = Arc::new(view);
@@ -59,9 +73,10 @@
             let part = sender(key).part(f64::from(connections), SENDERS_PART, OTHERS_PART);
             part as usize
         });
+        let allowance = *self.allowance();
         for (key, service) in view.topology.services() {
             let sender = sender(key);
-            let limits = self.allowance.limits(sender);
+            let limits = allowance.limits(sender);
             let pace = sender.part(1.0, SENDERS_PART, OTHERS_PART);
             for part in service.parts() {
                 self.engine.set_budget(part, limits);
