Reproduce the exposure to bad versions and the crashing requests

Callers saw failures of a bad version at about half of their requests, and replicas ended again and again under one request.

The stand-in store serves the status of objects; stand-in replicas can crash on a request and have a version.

--- a/crates/marigoldloom_standin/src/users/documents.rs
+++ b/crates/marigoldloom_standin/src/users/documents.rs
@@ -16,6 +16,12 @@
 /// Kind of the objects by which an operator stops requests to a failure domain.
 pub const EVACUATIONS: &str = "evacuations";
 
+/// Kind of the objects by which an operator moves a service's traffic to a version.
+pub const ROLLOUTS: &str = "rollouts";
+
+/// Version of a replica's software in [`announcement`].
+pub const VERSION: &str = "v1";
+
 /// Destination of a route's requests.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Backend {
@@ -99,11 +105,22 @@
 pub fn announcement(service: &str, domain: &str, address: SocketAddr, slots: u32) -> Value {
     json!({
         "Service": service, "Address": address.to_string(), "Zone": domain,
-        "ConfigVersion": "v1", "Slots": slots, "State": "available", "WarmupLeftMs": 0,
+        "ConfigVersion": VERSION, "Slots": slots, "State": "available", "WarmupLeftMs": 0,
         "Sequence": 1,
     })
 }
 
+/// Changes an announcement to that of a replica whose software has another version.
+pub fn with_version(mut announcement: Value, version: &str) -> Value {
+    announcement["ConfigVersion"] = json!(version);
+    announcement
+}
+
+/// Returns an order to move a service's traffic to `version` within `seconds`.
+pub fn rollout(service: &str, version: &str, seconds: u64) -> Value {
+    json!({"Service": service, "TargetVersion": version, "RampS": seconds})
+}
+
 /// Changes an announcement to that of a draining replica.
 pub fn draining(mut announcement: Value) -> Value {
     announcement["State"] = json!("draining");
--- a/crates/marigoldloom_standin/src/users/replica.rs
+++ b/crates/marigoldloom_standin/src/users/replica.rs
@@ -58,6 +58,8 @@
     pub bytes: Vec<u8>,
     /// Whether the connection is closed after the bytes are sent.
     pub close: bool,
+    /// Whether the replica crashes instead of sending the bytes.
+    pub crash: bool,
 }
 
 impl ScriptedResponse {
@@ -72,6 +74,15 @@
             delay: Duration::ZERO,
             bytes: [head.as_bytes(), body].concat(),
             close: false,
+            crash: false,
+        }
+    }
+
+    /// The replica crashes without a response.
+    pub fn crash() -> Self {
+        Self {
+            crash: true,
+            ..Self::default()
         }
     }
 }
@@ -124,7 +135,7 @@
             let replica = shared;
             while let Ok((stream, _)) = listener.accept().await {
                 replica.connections.fetch_add(1, Ordering::Relaxed);
-                let serve = serve(stream, Arc::clone(&replica.received), respond.clone());
+                let serve = serve(stream, replica.clone(), respond.clone());
                 task::spawn(until_stopped(stopped.clone(), serve));
             }
         };
@@ -152,6 +163,11 @@
     pub fn crash(&self) {
         self.stop.close();
     }
+
+    /// Returns whether the replica has crashed.
+    pub fn has_crashed(&self) -> bool {
+        self.stop.is_closed()
+    }
 }
 
 /// Runs `work` until it is done or the replica is stopped.
@@ -162,17 +178,22 @@
 
 async fn serve(
     mut stream: TcpStream,
-    received: Arc<Mutex<Vec<ReceivedRequest>>>,
+    replica: Replica,
     respond: impl Fn(&ReceivedRequest) -> ScriptedResponse,
 ) {
     let mut buffer = Vec::new();
     while let Some(request) = read(&mut stream, &mut buffer).await {
         let response = respond(&request);
         {
-            let mut received = received.lock().unwrap_or_else(PoisonError::into_inner);
-            received.push(request);
+            let received = replica.received.lock();
+            received
+                .unwrap_or_else(PoisonError::into_inner)
+                .push(request);
         }
         task::sleep(response.delay).await;
+        if response.crash {
+            return replica.crash();
+        }
         let written = stream.write_all(&response.bytes).await;
         if response.close || written.is_err() {
             return;
--- a/crates/marigoldloom_standin/src/users/store.rs
+++ b/crates/marigoldloom_standin/src/users/store.rs
@@ -81,12 +81,16 @@
     pub fn put(&self, kind: &str, name: &str, spec: Value) {
         let mut state = self.state();
         state.revision += 1;
+        let key = (kind.to_owned(), name.to_owned());
+        let old = state.objects.get(&key);
+        let created = old.and_then(|old| old["meta"]["CreatedRev"].as_u64());
+        let created = created.unwrap_or(state.revision);
+        let status = old.map(|old| old["status"].clone()).unwrap_or_default();
         let object = json!({
-            "meta": {"Name": name, "Revision": state.revision},
+            "meta": {"Name": name, "Revision": state.revision, "CreatedRev": created},
             "spec": spec,
-            "status": null,
+            "status": status,
         });
-        let key = (kind.to_owned(), name.to_owned());
         state.objects.insert(key, object.clone());
         state.record(kind, false, object);
     }
@@ -135,6 +139,9 @@
 
     /// Replaces an object for a call; status 404 if it doesn't exist.
     fn replace(&self, kind: &str, name: &str, body: &Value) -> Response {
+        if let Some(name) = name.strip_suffix("/status") {
+            return self.replace_status(kind, name, body);
+        }
         let key = (kind.to_owned(), name.to_owned());
         if !self.state().objects.contains_key(&key) {
             return Response::new(StatusCode::NotFound);
@@ -143,6 +150,31 @@
         Response::new(StatusCode::Ok)
     }
 
+    /// Replaces the status of an object for a call; status 404 if the object doesn't exist.
+    fn replace_status(&self, kind: &str, name: &str, body: &Value) -> Response {
+        let mut state = self.state();
+        let key = (kind.to_owned(), name.to_owned());
+        let Some(mut object) = state.objects.get(&key).cloned() else {
+            return Response::new(StatusCode::NotFound);
+        };
+        if object["status"] != body["status"] {
+            state.revision += 1;
+            object["meta"]["Revision"] = json!(state.revision);
+            object["status"] = body["status"].clone();
+            state.objects.insert(key, object.clone());
+            state.record(kind, false, object);
+        }
+        Response::new(StatusCode::Ok)
+    }
+
+    /// Returns the status of an object; null if it has none or doesn't exist.
+    pub fn status(&self, kind: &str, name: &str) -> Value {
+        let key = (kind.to_owned(), name.to_owned());
+        let state = self.state();
+        let status = state.objects.get(&key).map(|object| &object["status"]);
+        status.cloned().unwrap_or_default()
+    }
+
     /// Returns the names of the objects of a kind.
     pub fn names(&self, kind: &str) -> Vec<String> {
         let state = self.state();
