Log the version of announced upstreams and each strike

Neither hypothesis on the incident could be told from the others by the logs: no line named an upstream's version, and a strike of a crashing request left none.

--- a/crates/marigoldloom_catalog/src/catalog.rs
+++ b/crates/marigoldloom_catalog/src/catalog.rs
@@ -162,6 +162,7 @@
             tracing::info!(
                 upstream = %replica.id,
                 service = %replica.service,
+                version = replica.version,
                 address = %replica.address,
                 domain = %replica.domain,
                 draining = replica.draining,
--- a/crates/marigoldloom_front/src/decisions.rs
+++ b/crates/marigoldloom_front/src/decisions.rs
@@ -1,5 +1,6 @@
 //! Logs decisions and failed attempts of the query engine, and counts attempts.
 
+use marigoldloom_limits::fingerprint::{Fingerprint, Strikes};
 use marigoldloom_query::hooks::{Decision, FinishedAttempt, Observer, Purpose};
 use marigoldloom_telemetry::metrics::Metrics;
 
@@ -35,6 +36,14 @@
         );
     }
 
+    fn strike_added(&self, fingerprint: Fingerprint, strikes: Strikes) {
+        tracing::info!(
+            fingerprint = format_args!("{:016x}", fingerprint.0),
+            strikes = strikes.count,
+            "an upstream ended while it ran the request"
+        );
+    }
+
     fn decision_made(&self, decision: &Decision<'_>) {
         tracing::info!(
             kind = %decision.kind,
