Share the strikes of crashing requests between instances

What callers saw: a request under which three replicas had ended was sent to more replicas again and again, so that other requests lost replicas.

Cause: strikes stayed with the instance that counted them, so the limit of three held for each instance and not in sum; a restarted instance counted from zero; and a query counted one strike however many replicas ended under it. Class of fault: a limit that holds in sum, counted locally.

Strikes that make a request refused are also saved on the platform and read at each start, which costs one call for each start and each such request: all instances may be lost. - A strike is the end of an upstream's process: its address refuses a new connection after a lost one. A connection reset is none. Every upstream that ends counts, also in attempts that outlive their query. - A run that an upstream survives cancels the earlier strikes of all instances, so requests that were hit by another request's crash go on. - A refused request is told the whole time for which it is refused.

--- a/crates/marigoldloom_catalog/src/source.rs
+++ b/crates/marigoldloom_catalog/src/source.rs
@@ -115,6 +115,15 @@
     },
 }
 
+/// An entry of the instances' control state that is saved on the platform.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SavedEntry {
+    /// Name of the entry.
+    pub name: Arc<str>,
+    /// What was saved.
+    pub content: String,
+}
+
 /// Client of the platform: reads its records and registers instances of the tier there. The
 /// platform limits the rate of calls.
 pub trait Source: Clone + Send + Sync + 'static {
@@ -136,6 +145,20 @@
     /// Registers the instance `own`, or updates its earlier registration.
     fn register(&self, own: &Member) -> impl Future<Output = Result<(), Error>> + Send;
 
+    /// Saves an entry of the instances' control state that must outlive all of them. An entry with
+    /// the same name is replaced.
+    fn save_entry(
+        &self,
+        name: &str,
+        content: &str,
+    ) -> impl Future<Output = Result<(), Error>> + Send;
+
+    /// Removes a saved entry.
+    fn remove_entry(&self, name: &str) -> impl Future<Output = Result<(), Error>> + Send;
+
+    /// Returns the names and contents of all saved entries.
+    fn saved_entries(&self) -> impl Future<Output = Result<Vec<SavedEntry>, Error>> + Send;
+
     /// Lists the registered instances. The list may be a few seconds old.
     fn members(&self) -> impl Future<Output = Result<Vec<Member>, Error>> + Send;
 }
--- a/crates/marigoldloom_catalog/tests/support/mod.rs
+++ b/crates/marigoldloom_catalog/tests/support/mod.rs
@@ -12,7 +12,7 @@
 use marigoldloom_catalog::follower::LatestView;
 use marigoldloom_catalog::replica::Replica;
 use marigoldloom_catalog::source::{
-    Change, Changes, Error, Kind, Listing, Record, Revision, Source,
+    Change, Changes, Error, Kind, Listing, Record, Revision, SavedEntry, Source,
 };
 use marigoldloom_catalog::view;
 use marigoldloom_routing::home;
@@ -139,6 +139,18 @@
         })
     }
 
+    async fn save_entry(&self, _name: &str, _content: &str) -> Result<(), Error> {
+        self.answer(|_| ()).await
+    }
+
+    async fn remove_entry(&self, _name: &str) -> Result<(), Error> {
+        self.answer(|_| ()).await
+    }
+
+    async fn saved_entries(&self) -> Result<Vec<SavedEntry>, Error> {
+        self.answer(|_| Vec::new()).await
+    }
+
     async fn members(&self) -> Result<Vec<Member>, Error> {
         self.with_state(|state| match state.unavailable {
             true => Err(Self::unreachable()),
--- a/crates/marigoldloom_daemon/src/observer.rs
+++ b/crates/marigoldloom_daemon/src/observer.rs
@@ -31,15 +31,14 @@
 
 /// Returns the name of a strike's entry: the fingerprint and the instance that added it.
 pub fn strike_name(fingerprint: fingerprint::Fingerprint, instance: &str) -> Arc<str> {
-    Arc::from(format!("{:016x}/{instance}", fingerprint.0))
+    Arc::from(format!("{fingerprint}/{instance}"))
 }
 
 /// Parses the fingerprint, the instance and the strike from an entry; `None` if it is malformed.
 pub fn parse_strike(entry: &Entry) -> Option<(fingerprint::Fingerprint, &str, Strike)> {
     let (fingerprint, instance) = entry.name.split_once('/')?;
-    let fingerprint = u64::from_str_radix(fingerprint, 16).ok()?;
     let strike = serde_json::from_str(entry.value.as_deref()?).ok()?;
-    Some((fingerprint::Fingerprint(fingerprint), instance, strike))
+    Some((fingerprint.parse().ok()?, instance, strike))
 }
 
 /// Receives the reports of one instance's query engine.
@@ -105,7 +104,8 @@
         }
     }
 
-    fn strike_added(&self, fingerprint: fingerprint::Fingerprint, strikes: fingerprint::Strikes) {
+    fn strikes_changed(&self, change: &hooks::StrikeChange<'_>) {
+        let (fingerprint, strikes) = (change.fingerprint, change.own);
         let strike = Strike {
             count: strikes.count,
             latest: strikes.latest,
--- a/crates/marigoldloom_front/src/client.rs
+++ b/crates/marigoldloom_front/src/client.rs
@@ -23,6 +23,10 @@
 /// Interval for closing connections past their idle timeout.
 const SWEEP_PERIOD: Duration = Duration::from_secs(1);
 
+/// Time limit for opening a connection to an upstream that lost one. An address that refuses
+/// connections responds within a round trip between regions, 40 ms.
+const LOSS_CHECK_LIMIT: Duration = Duration::from_millis(100);
+
 /// Limits of the client.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Settings {
@@ -135,12 +139,22 @@
         let pool = self.find_pool(target).ok_or(Error::Unreachable)?;
         let left = || subquery.deadline.since(self.rt.now());
         let request = || self.build_request(target, subquery, call, left());
-        let (response, lease) = connection::send(&pool, left, request).await?;
-        let (reply, reusable) = self.read_response(subquery, response).await;
-        if reusable {
-            lease.return_to_pool();
+        let sent = connection::send(&pool, left, request).await;
+        let reply = match sent {
+            Ok((response, lease)) => {
+                let (reply, reusable) = self.read_response(subquery, response).await;
+                match reusable {
+                    true => lease.return_to_pool(),
+                    false => drop(lease),
+                }
+                reply
+            }
+            Err(error) => Err(error),
+        };
+        match reply {
+            Err(Error::Lost) => Err(explain_loss(&pool).await),
+            reply => reply,
         }
-        reply
     }
 
     fn build_request(
@@ -196,6 +210,19 @@
     }
 }
 
+/// Finds out after a lost connection whether the upstream's process has ended. A new connection is
+/// kept for the next request.
+async fn explain_loss(pool: &pool::Pool<Connection>) -> Error {
+    match pool.lease_new(LOSS_CHECK_LIMIT).await {
+        Ok(lease) => {
+            lease.return_to_pool();
+            Error::Lost
+        }
+        Err(pool::Error::TimedOut) => Error::Lost,
+        Err(pool::Error::Unreachable) => Error::Ended,
+    }
+}
+
 /// Classifies a response as an answer, a refusal or a failure.
 fn classify(reply: Reply, info: &ResponseInfo) -> Result<Reply, Error> {
     let head = reply.head.as_ref();
--- a/crates/marigoldloom_front/src/decisions.rs
+++ b/crates/marigoldloom_front/src/decisions.rs
@@ -1,23 +1,28 @@
-//! Logs decisions and failed attempts of the query engine, and counts attempts.
+//! Logs decisions and failed attempts of the query engine, counts attempts, and passes on what other
+//! instances must know.
 
-use marigoldloom_limits::fingerprint::{Fingerprint, Strikes};
-use marigoldloom_query::hooks::{Decision, FinishedAttempt, Observer, Purpose};
+use std::sync::Arc;
+
+use marigoldloom_peers::exchange::{Entry, Exchange};
+use marigoldloom_query::hooks::{Decision, FinishedAttempt, Observer, Purpose, StrikeChange};
+use marigoldloom_runtime::runtime::Runtime;
 use marigoldloom_telemetry::metrics::Metrics;
 
-/// Logs each decision of the engine and each failed attempt, and counts all attempts.
-#[derive(Clone, Debug)]
-pub struct DecisionLog {
-    metrics: Metrics,
-}
+use crate::exchange::PeerExchange;
+use crate::strikes;
 
-impl DecisionLog {
-    /// Creates an observer that counts attempts in `metrics`.
-    pub const fn new(metrics: Metrics) -> Self {
-        Self { metrics }
-    }
+/// Logs each decision of the engine and each failed attempt, and counts all attempts. Passes
+/// strikes to the other instances.
+pub(crate) struct DecisionLog<R> {
+    pub(crate) metrics: Metrics,
+    pub(crate) exchange: PeerExchange<R>,
+    /// Name under which this process publishes its strikes.
+    pub(crate) writer: Arc<str>,
+    /// Strikes that must be saved on the platform.
+    pub(crate) saved: async_channel::Sender<Entry>,
 }
 
-impl Observer for DecisionLog {
+impl<R: Runtime> Observer for DecisionLog<R> {
     fn attempt_finished(&self, attempt: &FinishedAttempt<'_>) {
         let reason = purpose_label(attempt.purpose);
         let ok = attempt.failure.is_none();
@@ -36,12 +41,20 @@
         );
     }
 
-    fn strike_added(&self, fingerprint: Fingerprint, strikes: Strikes) {
+    fn strikes_changed(&self, change: &StrikeChange<'_>) {
         tracing::info!(
-            fingerprint = format_args!("{:016x}", fingerprint.0),
-            strikes = strikes.count,
-            "an upstream ended while it ran the request"
+            fingerprint = %change.fingerprint,
+            upstream = change.upstream,
+            own = change.own.count,
+            total = change.total,
+            "strikes of a request changed"
         );
+        let entry = strikes::entry(change.fingerprint, change.own, &self.writer);
+        self.exchange.publish(entry);
+        let saved = strikes::saved_entry(change).map(|entry| self.saved.try_send(entry));
+        if let Some(Err(error)) = saved {
+            tracing::warn!(fingerprint = %change.fingerprint, %error, "strikes are not saved");
+        }
     }
 
     fn decision_made(&self, decision: &Decision<'_>) {
--- a/crates/marigoldloom_front/src/front.rs
+++ b/crates/marigoldloom_front/src/front.rs
@@ -27,6 +27,7 @@
 use xxhash_rust::xxh3;
 
 use crate::dialect::{Caller, Dialect};
+use crate::exchange::{self, PeerExchange};
 use crate::forward::{self, Forwarded};
 use crate::headers;
 use crate::homes::Homes;
@@ -45,7 +46,8 @@
 /// Processor time of a request before it is routed and after it is answered, on a full core.
 const REQUEST_CPU_TIME: Duration = Duration::from_micros(1_500);
 
-/// Longest time after which a caller is told to retry, and the default.
+/// Longest time after which a caller is told to retry, and the default. A caller whose request
+/// crashes upstreams is told the whole time for which it is refused.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 
 /// Tenant of all requests; callers don't name one.
@@ -67,6 +69,7 @@
     pub(crate) latest: LatestView,
     pub(crate) homes: Arc<Homes<R>>,
     pub(crate) feed: Arc<Feed>,
+    pub(crate) exchange: PeerExchange<R>,
     pub(crate) metrics: Metrics,
     /// Part of a request's latency objective that is reserved for the time before it is routed and
     /// after it is answered.
@@ -373,7 +376,10 @@
             run = %refusal.run,
             "request refused"
         );
-        let pause = refusal.retry_after.unwrap_or(RETRY_PAUSE).min(RETRY_PAUSE);
+        let pause = match refusal.kind {
+            Kind::Quarantined => refusal.retry_after.unwrap_or(RETRY_PAUSE),
+            _ => refusal.retry_after.unwrap_or(RETRY_PAUSE).min(RETRY_PAUSE),
+        };
         self.empty_response(status, pause)
     }
 
@@ -409,6 +415,9 @@
             let (rt, feed) = (&self.shared.rt, &self.shared.feed);
             return records::answer(rt, feed, request.into_body()).await;
         }
+        if self.from_peers && request.uri().path() == exchange::PATH {
+            return self.shared.exchange.answer(request.into_body()).await;
+        }
         let caller = self.shared.dialect.parse_caller(request.headers());
         let id = caller.id.clone();
         match self.receive(caller, request).await {
--- a/crates/marigoldloom_front/src/instance.rs
+++ b/crates/marigoldloom_front/src/instance.rs
@@ -16,6 +16,7 @@
 use marigoldloom_catalog::source::Source;
 use marigoldloom_limits::allowance::{Allowance, Sender};
 use marigoldloom_limits::cold;
+use marigoldloom_peers::exchange::{Entry, Space};
 use marigoldloom_query::engine::{self, Engine};
 use marigoldloom_query::hooks::{self, Hooks};
 use marigoldloom_routing::{health, home};
@@ -24,6 +25,7 @@
 use marigoldloom_runtime::time;
 use marigoldloom_telemetry::log::DroppedLines;
 use marigoldloom_telemetry::metrics::{self, Metrics};
+use marigoldloom_upstream::upstream::Upstream;
 use signal_hook::consts::signal;
 use signal_hook_async_std::Signals;
 
@@ -31,11 +33,13 @@
 use crate::decisions::DecisionLog;
 use crate::dialect::Dialect;
 use crate::endpoints::{MetricsEndpoint, ReadinessEndpoint};
+use crate::exchange::PeerExchange;
 use crate::front::{self, Front};
 use crate::homes::{self, Homes};
 use crate::listener::{self, Handler, Stop};
 use crate::records::Peers;
 use crate::sharing::Sharing;
+use crate::strikes;
 
 /// How long new connections are accepted after a stop signal. The load balancer checks readiness
 /// each second and removes the instance after the second failed check.
@@ -124,12 +128,22 @@
     let metrics = Metrics::new()?;
     let client = Client::new(rt, dialect.clone(), settings.client.clone());
     rt.spawn(client.clone().sweep());
+    let writer: Arc<str> = Arc::from(format!("{}@{}", settings.name, rt.wall().0));
+    let exchange = PeerExchange::new(rt, Arc::clone(&settings.name));
+    let (saved, queue) = async_channel::bounded(strikes::SAVE_QUEUE);
     let hooks = hooks::HookSet {
         versions: hooks::ActiveVersion,
         leases: cold::SingleInstance,
-        observer: DecisionLog::new(metrics.clone()),
+        observer: DecisionLog {
+            metrics: metrics.clone(),
+            exchange: exchange.clone(),
+            writer,
+            saved,
+        },
     };
     let engine = Engine::new(rt, client.clone(), hooks, engine_settings(&settings));
+    rt.spawn(share_strikes(exchange.clone(), engine.clone()));
+    rt.spawn(strikes::save(rt, source.clone(), exchange.clone(), queue));
     let own = member(&settings);
     let homes = Homes::new(rt, own.candidate.clone(), settings.place.clone());
     let sharing = Arc::new(Sharing {
@@ -138,6 +152,7 @@
         latest: LatestView::default(),
         homes: Arc::new(homes),
         allowance: Mutex::new(settings.allowance),
+        exchange: exchange.clone(),
     });
     let feed = follow(rt, source, own, &settings.place, &sharing);
     let stop = Stop::default();
@@ -149,6 +164,7 @@
         latest: latest.clone(),
         homes: Arc::clone(&sharing.homes),
         feed,
+        exchange,
         metrics: metrics.clone(),
         margin: front::objective_margin(settings.capacity),
     });
@@ -227,6 +243,20 @@
     }
 }
 
+/// Applies the strikes that other instances publish, for as long as the future is polled.
+async fn share_strikes<U: Upstream, H: Hooks>(
+    exchange: PeerExchange<AsyncStd>,
+    engine: Engine<AsyncStd, U, H>,
+) {
+    let apply = |entry: &Entry| {
+        let strikes = Some(entry).filter(|e| e.space == Space::Strike);
+        if let Some((fingerprint, writer, strikes)) = strikes.and_then(strikes::parse) {
+            engine.merge_strikes(writer, fingerprint, strikes);
+        }
+    };
+    exchange.run(apply).await;
+}
+
 /// Starts to follow the list of instances and the platform's records and to apply their changes.
 /// Returns the feed that serves the records to other instances.
 fn follow<S, D, H>(
--- a/crates/marigoldloom_front/src/lib.rs
+++ b/crates/marigoldloom_front/src/lib.rs
@@ -8,9 +8,10 @@
 
 pub mod client;
 pub mod connection;
-pub mod decisions;
+mod decisions;
 pub mod dialect;
 mod endpoints;
+mod exchange;
 mod forward;
 pub mod front;
 pub mod headers;
@@ -18,6 +19,8 @@
 pub mod instance;
 pub mod listener;
 pub mod merge;
+mod peer_client;
 mod records;
 mod rejection;
 mod sharing;
+mod strikes;
--- a/crates/marigoldloom_front/src/sharing.rs
+++ b/crates/marigoldloom_front/src/sharing.rs
@@ -14,6 +14,7 @@
 
 use crate::client::Client;
 use crate::dialect::Dialect;
+use crate::exchange::PeerExchange;
 use crate::homes::Homes;
 
 /// Share of a replica's connections, and of the load that it can take while it is cold, that all
@@ -32,6 +33,7 @@
     pub(crate) latest: LatestView,
     pub(crate) homes: Arc<Homes<R>>,
     pub(crate) allowance: Mutex<Allowance>,
+    pub(crate) exchange: PeerExchange<R>,
 }
 
 impl<R: Runtime, D: Dialect, H: Hooks> Sharing<R, D, H>
@@ -40,6 +42,7 @@
 {
     /// Applies a new list of instances.
     pub(crate) fn set_members(&self, members: Vec<Member>) {
+        self.exchange.set_members(&members);
         self.homes.set_members(members);
         if let Some(view) = self.latest.get() {
             self.apply_limits(&view);
--- /dev/null
+++ b/crates/marigoldloom_front/src/strikes.rs
@@ -0,0 +1,107 @@
+//! Sharing of the strikes against requests that crash upstreams.
+//!
+//! Each process publishes its own strikes to the other instances. Once a request is refused, its
+//! strikes are also saved on the platform, so that they outlive all instances.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use marigoldloom_catalog::source::{SavedEntry, Source};
+use marigoldloom_limits::fingerprint::{self, Fingerprint, Strikes};
+use marigoldloom_peers::exchange::{Entry, Space};
+use marigoldloom_query::hooks::StrikeChange;
+use marigoldloom_runtime::runtime::{self, Runtime};
+
+use crate::exchange::PeerExchange;
+
+/// Writer of strikes that were read from the platform.
+const SAVED: &str = "saved";
+
+/// Shortest and longest pause before a failed call to the platform is retried.
+const RETRY_BASE: Duration = Duration::from_millis(500);
+const RETRY_CAP: Duration = Duration::from_secs(5);
+
+/// Number of refused requests whose strikes may wait to be saved.
+pub(crate) const SAVE_QUEUE: usize = 64;
+
+/// Returns the entry by which the process `writer` publishes its strikes.
+pub(crate) fn entry(fingerprint: Fingerprint, strikes: Strikes, writer: &str) -> Entry {
+    let value = serde_json::to_string(&strikes).ok();
+    Entry {
+        space: Space::Strike,
+        name: Arc::from(format!("{fingerprint}/{writer}")),
+        stamp: strikes.latest.0,
+        value: value.map(Arc::from),
+        expires: Some(strikes.latest + fingerprint::QUARANTINE),
+    }
+}
+
+/// Decodes the fingerprint, the writer and the strikes of an entry; `None` if it is malformed.
+pub(crate) fn parse(entry: &Entry) -> Option<(Fingerprint, &str, Strikes)> {
+    let (fingerprint, writer) = entry.name.split_once('/')?;
+    let strikes = serde_json::from_str(entry.value.as_deref()?).ok()?;
+    Some((fingerprint.parse().ok()?, writer, strikes))
+}
+
+/// Returns the entry to save if `change` makes instances refuse the request.
+pub(crate) fn saved_entry(change: &StrikeChange<'_>) -> Option<Entry> {
+    let strikes = Strikes {
+        count: change.total,
+        latest: change.own.latest,
+    };
+    (change.total >= fingerprint::STRIKE_LIMIT).then(|| entry(change.fingerprint, strikes, SAVED))
+}
+
+/// Reads the saved strikes into `exchange` and removes expired ones, then saves the entries of
+/// `queue`. Runs until the queue is closed.
+pub(crate) async fn save<R: Runtime, S: Source>(
+    rt: R,
+    source: S,
+    exchange: PeerExchange<R>,
+    queue: async_channel::Receiver<Entry>,
+) {
+    restore(&rt, &source, &exchange).await;
+    while let Ok(entry) = queue.recv().await {
+        let Ok(content) = serde_json::to_string(&entry) else {
+            continue;
+        };
+        // The writer is the same for all saved strikes.
+        let name = entry.name.split('/').next().unwrap_or_default();
+        let mut attempt = 0;
+        while let Err(error) = source.save_entry(name, &content).await {
+            tracing::warn!(name, %error, "strikes can't be saved on the platform");
+            back_off(&rt, &mut attempt).await;
+        }
+        tracing::info!(name, "strikes saved on the platform");
+    }
+}
+
+async fn restore<R: Runtime>(rt: &R, source: &impl Source, exchange: &PeerExchange<R>) {
+    let mut attempt = 0;
+    let saved = loop {
+        match source.saved_entries().await {
+            Ok(saved) => break saved,
+            Err(_) => back_off(rt, &mut attempt).await,
+        }
+    };
+    for SavedEntry { name, content } in saved {
+        let entry = serde_json::from_str::<Entry>(&content).ok();
+        let live = |e: &Entry| e.expires.is_some_and(|at| at > rt.wall());
+        match entry.filter(live) {
+            Some(entry) => {
+                tracing::info!(%name, "strikes restored from the platform");
+                exchange.restore(&entry);
+            }
+            None => {
+                let removed = source.remove_entry(&name).await;
+                tracing::info!(%name, ok = removed.is_ok(), "expired strikes removed");
+            }
+        }
+    }
+}
+
+async fn back_off(rt: &impl Runtime, attempt: &mut u32) {
+    let pause = runtime::backoff(rt, *attempt, RETRY_BASE, RETRY_CAP);
+    *attempt += 1;
+    rt.sleep(pause.max(RETRY_BASE)).await;
+}
--- a/crates/marigoldloom_http/src/pool.rs
+++ b/crates/marigoldloom_http/src/pool.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use async_lock::{Semaphore, SemaphoreGuardArc};
+use async_lock::{Semaphore, SemaphoreGuard, SemaphoreGuardArc};
 use async_std::future;
 use derive_more::derive;
 
@@ -169,8 +169,14 @@
             permit.forget();
             size.surplus -= 1;
         }
+        drop(size);
+        self.trim_idle();
+    }
+
+    /// Closes idle connections for which there is no permit.
+    fn trim_idle(&self) {
         let mut idle = self.shared.idle();
-        while idle.len() > permits.available_permits() {
+        while idle.len() > self.shared.permits.available_permits() {
             idle.pop_front();
         }
     }
@@ -182,11 +188,7 @@
     /// [`Error`] if there is no connection in time.
     pub async fn lease(&self, limit: Duration) -> Result<Lease<C>, Error> {
         let deadline = Instant::now() + limit;
-        let permit = future::timeout(limit, self.shared.permits.acquire_arc()).await;
-        let permit = Permit {
-            shared: Arc::clone(&self.shared),
-            guard: Some(permit.map_err(|_elapsed| Error::TimedOut)?),
-        };
+        let permit = self.acquire(limit).await?;
         let ((connection, start_id), reused) = match self.take_idle() {
             Some(idle) => (idle, true),
             None => self.open(deadline).await?,
@@ -199,21 +201,57 @@
         })
     }
 
+    /// Opens a connection within `limit` even if one is idle, which shows whether the server
+    /// accepts connections now.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if there is no connection in time.
+    pub async fn lease_new(&self, limit: Duration) -> Result<Lease<C>, Error> {
+        let deadline = Instant::now() + limit;
+        let permit = self.acquire(limit).await?;
+        self.trim_idle();
+        let _gate = self.await_opening(deadline).await?;
+        Ok(Lease {
+            connection: self.connect(deadline).await?,
+            start_id: None,
+            reused: false,
+            permit,
+        })
+    }
+
+    async fn acquire(&self, limit: Duration) -> Result<Permit<C>, Error> {
+        let permit = future::timeout(limit, self.shared.permits.acquire_arc()).await;
+        Ok(Permit {
+            shared: Arc::clone(&self.shared),
+            guard: Some(permit.map_err(|_elapsed| Error::TimedOut)?),
+        })
+    }
+
     /// Opens a connection, or takes one that became idle meanwhile. Also returns whether it
     /// was used before.
     async fn open(&self, deadline: Instant) -> Result<(IdentifiedConnection<C>, bool), Error> {
-        let settings = &self.shared.settings;
-        let left = deadline.saturating_duration_since(Instant::now());
-        let gate = future::timeout(left, self.shared.opening.acquire()).await;
-        let _gate = gate.map_err(|_elapsed| Error::TimedOut)?;
+        let _gate = self.await_opening(deadline).await?;
         // Another request may have returned its connection during the wait.
-        if let Some(idle) = self.take_idle() {
-            return Ok((idle, true));
+        match self.take_idle() {
+            Some(idle) => Ok((idle, true)),
+            None => Ok(((self.connect(deadline).await?, None), false)),
         }
+    }
+
+    /// Waits until fewer than [`Settings::max_opening`] connections are being opened.
+    async fn await_opening(&self, deadline: Instant) -> Result<SemaphoreGuard<'_>, Error> {
+        let left = deadline.saturating_duration_since(Instant::now());
+        let gate = future::timeout(left, self.shared.opening.acquire()).await;
+        gate.map_err(|_elapsed| Error::TimedOut)
+    }
+
+    async fn connect(&self, deadline: Instant) -> Result<C, Error> {
+        let settings = &self.shared.settings;
         let left = deadline.saturating_duration_since(Instant::now());
         let limit = left.min(settings.connect_timeout);
         match C::open(self.shared.address, settings, limit).await {
-            Ok(connection) => Ok(((connection, None), false)),
+            Ok(connection) => Ok(connection),
             Err(_) if left < settings.connect_timeout && Instant::now() >= deadline => {
                 Err(Error::TimedOut)
             }
--- a/crates/marigoldloom_limits/src/fingerprint.rs
+++ b/crates/marigoldloom_limits/src/fingerprint.rs
@@ -7,9 +7,12 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::mem;
+use std::num::ParseIntError;
+use std::str::FromStr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use derive_more::derive;
 use marigoldloom_runtime::time;
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3;
@@ -29,9 +32,11 @@
 const MAX_HARMLESS: usize = 32_768;
 
 /// Hash of a request's service, target (the HTTP target, or the route if there is none) and body.
+/// Its text form has 16 hexadecimal digits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-#[derive(Deserialize, Serialize)]
+#[derive(Deserialize, Serialize, derive::Display)]
 #[serde(transparent)]
+#[display("{_0:016x}")]
 pub struct Fingerprint(pub u64);
 
 impl Fingerprint {
@@ -46,14 +51,23 @@
     }
 }
 
+impl FromStr for Fingerprint {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, ParseIntError> {
+        u64::from_str_radix(text, 16).map(Self)
+    }
+}
+
 /// Strikes against one fingerprint that one instance recorded.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 #[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub struct Strikes {
-    /// Number of upstreams that crashed.
+    /// Number of upstreams that crashed. Zero states that a run ended without a crash, which
+    /// cancels the earlier strikes of all instances.
     pub count: u32,
-    /// When the latest of them crashed.
+    /// When the latest of them crashed, or when the run ended.
     pub latest: time::WallTime,
 }
 
@@ -127,8 +141,9 @@
         inner.harmless.remove(&fingerprint);
         inner.harmless_before.remove(&fingerprint);
         inner.evict_oldest();
+        let exonerated = inner.exonerated_at(fingerprint);
         let own = inner.own.entry(fingerprint).or_default();
-        if expired(now, own.strikes.latest) {
+        if expired(now, own.strikes.latest) || own.strikes.latest <= exonerated {
             *own = OwnStrikes::default();
         }
         own.strikes.count += 1;
@@ -136,15 +151,15 @@
         own.strikes
     }
 
-    /// Merges the strikes that the instance `origin` recorded: the greater count and the later
-    /// time are kept.
+    /// Merges the strikes that the instance `origin` recorded, unless later ones are known.
     pub fn merge(&self, origin: &str, fingerprint: Fingerprint, strikes: Strikes) {
         let mut inner = self.lock();
         inner.evict_oldest();
         let origins = inner.peers.entry(fingerprint).or_default();
         let known = origins.entry(Arc::from(origin)).or_default();
-        known.count = known.count.max(strikes.count);
-        known.latest = known.latest.max(strikes.latest);
+        if strikes.latest >= known.latest {
+            *known = strikes;
+        }
     }
 
     /// Uses the one retry that a fingerprint has after a lost connection. Returns false if it has
@@ -152,8 +167,8 @@
     pub fn take_retry(&self, fingerprint: Fingerprint) -> bool {
         let mut inner = self.lock();
         match inner.own.get_mut(&fingerprint) {
-            Some(own) => !mem::replace(&mut own.retried, true),
-            None => true,
+            Some(own) if own.strikes.count > 0 => !mem::replace(&mut own.retried, true),
+            _ => true,
         }
     }
 
@@ -170,11 +185,29 @@
         inner.harmless.insert(fingerprint);
     }
 
-    /// Records that a request ran on all shards: marks its fingerprint as harmless and removes
-    /// this instance's strikes against it, which came from crashes that another request caused.
-    pub fn clear_strikes(&self, fingerprint: Fingerprint) {
+    /// Records that an upstream ran the request without a crash, so that all strikes against its
+    /// fingerprint came from crashes that other requests caused. Returns the record to be sent to
+    /// peers; `None` if there were no strikes.
+    pub fn clear_strikes(&self, now: time::WallTime, fingerprint: Fingerprint) -> Option<Strikes> {
         self.mark_harmless(fingerprint);
-        self.lock().own.remove(&fingerprint);
+        let mut inner = self.lock();
+        let (count, latest) = inner.total(now, fingerprint);
+        if count == 0 {
+            return None;
+        }
+        let strikes = Strikes {
+            count: 0,
+            // Later than each strike even if the clocks of the instances differ.
+            latest: now.max(latest + Duration::from_millis(1)),
+        };
+        inner.own.insert(
+            fingerprint,
+            OwnStrikes {
+                strikes,
+                retried: false,
+            },
+        );
+        Some(strikes)
     }
 
     /// Claims the canary run of `fingerprint`: the run on a single shard that shows whether the
@@ -193,17 +226,27 @@
         self.harmless.contains(&fingerprint) || self.harmless_before.contains(&fingerprint)
     }
 
-    fn total(&self, now: time::WallTime, fingerprint: Fingerprint) -> (u32, time::WallTime) {
+    fn strikes(&self, fingerprint: Fingerprint) -> impl Iterator<Item = Strikes> {
         let own = self.own.get(&fingerprint).map(|o| o.strikes);
         let peers = self
             .peers
             .get(&fingerprint)
             .into_iter()
             .flat_map(BTreeMap::values);
-        let live = peers
-            .copied()
-            .chain(own)
-            .filter(|s| !expired(now, s.latest));
+        peers.copied().chain(own)
+    }
+
+    /// When a run of the request last ended without a crash although there were strikes.
+    fn exonerated_at(&self, fingerprint: Fingerprint) -> time::WallTime {
+        let runs = self.strikes(fingerprint).filter(|s| s.count == 0);
+        runs.map(|s| s.latest).max().unwrap_or_default()
+    }
+
+    fn total(&self, now: time::WallTime, fingerprint: Fingerprint) -> (u32, time::WallTime) {
+        let exonerated = self.exonerated_at(fingerprint);
+        let live = self
+            .strikes(fingerprint)
+            .filter(|s| !expired(now, s.latest) && s.latest > exonerated);
         live.fold((0, time::WallTime::default()), |(count, latest), s| {
             (count.saturating_add(s.count), latest.max(s.latest))
         })
--- a/crates/marigoldloom_query/src/answer.rs
+++ b/crates/marigoldloom_query/src/answer.rs
@@ -99,7 +99,7 @@
             upstream::Error::Unreachable => Self::Unreachable,
             upstream::Error::Refused { refusal, .. } => Self::from(*refusal),
             upstream::Error::Failed { .. } => Self::Failed,
-            upstream::Error::Lost => Self::Lost,
+            upstream::Error::Lost | upstream::Error::Ended => Self::Lost,
             upstream::Error::TimedOut => Self::TimedOut,
             upstream::Error::Mismatch => Self::Mismatch,
         }
--- a/crates/marigoldloom_query/src/engine.rs
+++ b/crates/marigoldloom_query/src/engine.rs
@@ -328,6 +328,7 @@
             shards_queried: AtomicU32::new(0),
             harmless: AtomicBool::new(false),
             strike_recorded: AtomicBool::new(false),
+            survived: Arc::default(),
         };
         match query.time_left().is_zero() {
             true => Err(query.refusal(Kind::Expired)),
@@ -387,7 +388,7 @@
             return Err(self.unavailable(reason.unwrap_or(Reason::NoReplica)));
         }
         if gathered.missing.is_empty() {
-            self.core.crash_tracker.clear_strikes(self.fingerprint);
+            self.core.clear_strikes(self.fingerprint);
         }
         Ok(answer::Answer {
             request: self.request.id.clone(),
@@ -419,7 +420,7 @@
                     return Ok(answer::Part::new(shard, *reply));
                 }
                 (_, Err(error)) => {
-                    if error == upstream::Error::Lost {
+                    if matches!(error, upstream::Error::Lost | upstream::Error::Ended) {
                         self.record_lost_connection(shard);
                     }
                     return Err(Reason::from(&error));
@@ -429,7 +430,7 @@
     }
 
     fn single_shard_answer(&self, part: answer::Part) -> answer::Answer {
-        self.core.crash_tracker.clear_strikes(self.fingerprint);
+        self.core.clear_strikes(self.fingerprint);
         answer::Answer {
             request: self.request.id.clone(),
             snapshot: (*self.snapshot).clone(),
--- a/crates/marigoldloom_query/src/gather.rs
+++ b/crates/marigoldloom_query/src/gather.rs
@@ -232,10 +232,7 @@
 
     /// Whether an upstream crashed while it ran a request with this fingerprint.
     pub(crate) fn has_strikes(&self) -> bool {
-        self.core
-            .crash_tracker
-            .strike_count(self.core.rt.wall(), self.fingerprint)
-            > 0
+        self.core.strike_count(self.fingerprint) > 0
     }
 
     /// Runs the request on one shard. After a lost connection it runs once on another shard.
--- a/crates/marigoldloom_query/src/hooks.rs
+++ b/crates/marigoldloom_query/src/hooks.rs
@@ -101,6 +101,19 @@
     pub evidence: serde_json::Value,
 }
 
+/// A change of the strikes against a fingerprint.
+#[derive(Clone, Copy, Debug)]
+pub struct StrikeChange<'a> {
+    /// The fingerprint.
+    pub fingerprint: fingerprint::Fingerprint,
+    /// The strikes that this instance has recorded for it, to be sent to its peers.
+    pub own: fingerprint::Strikes,
+    /// Number of strikes over all instances, as far as they are known here.
+    pub total: u32,
+    /// The upstream whose end added the strike; `None` if it is unknown or there was none.
+    pub upstream: Option<&'a str>,
+}
+
 /// Receives events of the engine. The methods must not block.
 pub trait Observer: Send + Sync + 'static {
     /// Called when a request has ended.
@@ -120,10 +133,8 @@
     /// reported.
     fn cold_start_began(&self, _service: &str, _upstream: &str, _cause: health::ColdCause) {}
 
-    /// Called when a fingerprint gets a strike. `strikes` are all strikes that this instance
-    /// recorded for it, to be sent to its peers.
-    fn strike_added(&self, _fingerprint: fingerprint::Fingerprint, _strikes: fingerprint::Strikes) {
-    }
+    /// Called when a fingerprint gets a strike or its strikes are cleared.
+    fn strikes_changed(&self, _change: &StrikeChange<'_>) {}
 }
 
 /// Ignores all events.
@@ -153,8 +164,8 @@
         (**self).cold_start_began(service, upstream, cause);
     }
 
-    fn strike_added(&self, fingerprint: fingerprint::Fingerprint, strikes: fingerprint::Strikes) {
-        (**self).strike_added(fingerprint, strikes);
+    fn strikes_changed(&self, change: &StrikeChange<'_>) {
+        (**self).strikes_changed(change);
     }
 }
 
--- a/crates/marigoldloom_query/src/shard.rs
+++ b/crates/marigoldloom_query/src/shard.rs
@@ -21,7 +21,7 @@
 use crate::answer::Reason;
 use crate::attempt;
 use crate::engine;
-use crate::hooks::{Hooks, Observer, Purpose};
+use crate::hooks::{Hooks, Purpose};
 use crate::request;
 use crate::selection::{ReplicaView, Selection};
 use crate::state;
@@ -76,6 +76,8 @@
     pub(crate) harmless: AtomicBool,
     /// Whether this query already counted a strike against its fingerprint.
     pub(crate) strike_recorded: AtomicBool,
+    /// Whether an upstream has run the request without a crash.
+    pub(crate) survived: Arc<AtomicBool>,
 }
 
 /// Attempts of a query at one shard so far.
@@ -202,6 +204,7 @@
         let cold = reservation.cold;
         self.run_counter.add();
         let attempt = reservation.send(subquery, Arc::clone(&self.run_counter));
+        let attempt = self.watch_crash(Arc::clone(&name), attempt);
         let result = match self.core.settings.losing_attempts {
             engine::LosingAttempts::Cancel => attempt.await,
             engine::LosingAttempts::Finish => self.run_detached(attempt).await,
@@ -214,6 +217,38 @@
         (name, result)
     }
 
+    /// Counts the end of an upstream during `attempt` as a strike against the fingerprint, unless
+    /// another upstream has run the request without a crash. Happens in the attempt itself, because
+    /// it may outlive the query.
+    fn watch_crash<F>(
+        &self,
+        upstream: Arc<str>,
+        attempt: F,
+    ) -> impl Future<Output = Result<message::Reply, upstream::Error>> + Send + use<F, R, U, H>
+    where
+        F: Future<Output = Result<message::Reply, upstream::Error>> + Send,
+    {
+        let core = Arc::clone(self.core);
+        let (fingerprint, survived) = (self.fingerprint, Arc::clone(&self.survived));
+        async move {
+            let result = attempt.await;
+            if core.settings.canary != engine::CanaryPolicy::AfterStrike {
+                return result;
+            }
+            match &result {
+                Err(upstream::Error::Ended) if !survived.load(Ordering::Relaxed) => {
+                    core.add_strike(fingerprint, Some(&upstream));
+                }
+                Ok(_) if !survived.swap(true, Ordering::Relaxed) => core.clear_strikes(fingerprint),
+                Err(error) if error.survived() && !survived.swap(true, Ordering::Relaxed) => {
+                    core.clear_strikes(fingerprint);
+                }
+                _ => {}
+            }
+            result
+        }
+    }
+
     /// Runs an attempt in a task of its own. It goes on when this future is dropped, until the
     /// caller disconnects.
     async fn run_detached<F>(&self, attempt: F) -> Result<message::Reply, upstream::Error>
@@ -409,48 +444,34 @@
     /// Whether another attempt may follow `error`. Records a lost connection.
     fn may_retry(&self, shard: u32, error: &upstream::Error) -> bool {
         match error {
-            upstream::Error::Lost => self.record_lost_connection(shard),
+            upstream::Error::Lost | upstream::Error::Ended => self.record_lost_connection(shard),
             upstream::Error::Refused { refusal, .. } => *refusal != upstream::Refusal::Expired,
             _ => true,
         }
     }
 
-    /// Counts a lost connection as a strike against the fingerprint. Returns whether the subquery
-    /// may be retried.
+    /// Handles a lost connection. Returns whether the subquery may be retried.
     ///
-    /// A request that ran elsewhere without a crash was probably affected by another request's
-    /// crash or by the loss of a failure domain: it gets at most one strike and its shards may be
-    /// retried. Otherwise the fingerprint has a single retry. If canaries are in use, that retry
-    /// goes to another shard, because a request that crashes both replicas of a shard makes the
-    /// shard unavailable to all other queries.
+    /// If canaries run after strikes only, [`Self::watch_crash`] counts the strikes, and retries end
+    /// at the limit. Otherwise each lost connection counts. A request that ran elsewhere without a
+    /// crash was then probably affected by another request's crash or by the loss of a failure
+    /// domain: it gets at most one strike and its shards may be retried. Any other fingerprint has a
+    /// single retry. If canaries are in use, that retry goes to another shard, because a request that
+    /// crashes both replicas of a shard makes the shard unavailable to all other queries.
     pub(crate) fn record_lost_connection(&self, shard: u32) -> bool {
         let needs_canary = self.needs_canary();
         self.shard_service(shard).record_crash(self.core.rt.now());
+        if self.core.settings.canary == engine::CanaryPolicy::AfterStrike {
+            let survived = self.survived.load(Ordering::Relaxed);
+            return survived
+                || self.core.strike_count(self.fingerprint) < fingerprint::STRIKE_LIMIT;
+        }
         let harmless = self.harmless.load(Ordering::Relaxed);
-        let first = !self.strike_recorded.swap(true, Ordering::Relaxed);
         // A connection reset can hit many attempts at once, so only the first one counts.
-        let lenient = self.core.settings.canary == engine::CanaryPolicy::AfterStrike;
-        if first || !harmless && !lenient {
-            let strikes = self
-                .core
-                .crash_tracker
-                .add_strike(self.core.rt.wall(), self.fingerprint);
-            self.core
-                .hooks
-                .observer()
-                .strike_added(self.fingerprint, strikes);
-        }
-        let struck = || {
-            self.core
-                .crash_tracker
-                .strike_count(self.core.rt.wall(), self.fingerprint)
-        };
-        match lenient {
-            true => struck() < fingerprint::STRIKE_LIMIT,
-            false => {
-                harmless || !needs_canary && self.core.crash_tracker.take_retry(self.fingerprint)
-            }
+        if !self.strike_recorded.swap(true, Ordering::Relaxed) || !harmless {
+            self.core.add_strike(self.fingerprint, None);
         }
+        harmless || !needs_canary && self.core.crash_tracker.take_retry(self.fingerprint)
     }
 
     /// Returns the time after which an attempt is hedged. Requests that may crash their upstreams
--- a/crates/marigoldloom_query/src/state.rs
+++ b/crates/marigoldloom_query/src/state.rs
@@ -249,6 +249,38 @@
         }
     }
 
+    /// Returns the number of strikes against a fingerprint, over all instances.
+    pub(crate) fn strike_count(&self, fingerprint: fingerprint::Fingerprint) -> u32 {
+        let now = self.rt.wall();
+        self.crash_tracker.strike_count(now, fingerprint)
+    }
+
+    /// Counts a strike against a fingerprint. `upstream` is the upstream that ended, if known.
+    pub(crate) fn add_strike(&self, fingerprint: fingerprint::Fingerprint, upstream: Option<&str>) {
+        let strikes = self.crash_tracker.add_strike(self.rt.wall(), fingerprint);
+        self.hooks.observer().strikes_changed(&hooks::StrikeChange {
+            fingerprint,
+            own: strikes,
+            total: self.strike_count(fingerprint),
+            upstream,
+        });
+    }
+
+    /// Clears the strikes against a fingerprint after a run without a crash.
+    pub(crate) fn clear_strikes(&self, fingerprint: fingerprint::Fingerprint) {
+        let cleared = self
+            .crash_tracker
+            .clear_strikes(self.rt.wall(), fingerprint);
+        if let Some(own) = cleared {
+            self.hooks.observer().strikes_changed(&hooks::StrikeChange {
+                fingerprint,
+                own,
+                total: 0,
+                upstream: None,
+            });
+        }
+    }
+
     fn service_of(&self, upstream: &str) -> Arc<str> {
         let topology = self.topology();
         let service = topology.as_ref().and_then(|t| t.service_of(upstream));
--- a/crates/marigoldloom_routing/src/health.rs
+++ b/crates/marigoldloom_routing/src/health.rs
@@ -338,7 +338,7 @@
         let may_run = !error.not_run() && !matches!(error, upstream::Error::Failed { .. });
         let (ejected, turned_cold) = match error {
             upstream::Error::Refused { refusal, .. } => (inner.handle_refusal(now, *refusal), None),
-            upstream::Error::Unreachable | upstream::Error::Lost => (
+            upstream::Error::Unreachable | upstream::Error::Lost | upstream::Error::Ended => (
                 inner.count_failure(now),
                 inner.mark_cold(now, ColdCause::Connection),
             ),
--- a/crates/marigoldloom_upstream/src/upstream.rs
+++ b/crates/marigoldloom_upstream/src/upstream.rs
@@ -44,6 +44,10 @@
     /// The connection ended after bytes were sent; the subquery may have run.
     #[display("the connection ended before the answer came")]
     Lost,
+    /// The connection ended after bytes were sent, and the upstream's address refuses connections:
+    /// its process ended while it may have run the subquery.
+    #[display("the upstream ended before the answer came")]
+    Ended,
     /// The deadline passed after bytes were sent; the subquery may have run.
     #[display("the deadline passed before the answer came")]
     TimedOut,
@@ -98,6 +102,11 @@
         )
     }
 
+    /// Whether the upstream is known to have survived the run of the subquery.
+    pub const fn survived(&self) -> bool {
+        matches!(self, Self::Failed { .. })
+    }
+
     /// The upstream's report; `None` if the error contains none.
     pub const fn report(&self) -> Option<message::Report> {
         match self {
--- a/crates/marigoldloom_upstream/tests/client.rs
+++ b/crates/marigoldloom_upstream/tests/client.rs
@@ -218,6 +218,7 @@
         Err(Error::Refused { refusal, .. }) => Outcome::Refused(*refusal),
         Err(Error::Failed { status, .. }) => Outcome::Failed(*status),
         Err(Error::Lost) => Outcome::Lost,
+        Err(Error::Ended) => panic!("this client doesn't check the address"),
         Err(Error::TimedOut) => Outcome::TimedOut,
         Err(Error::Mismatch) => Outcome::Mismatch,
         Err(Error::Unreachable) => panic!("the upstream can't be reached"),
