Follow the operators' orders to move a service to a version

What callers saw: a bad version got about half of a service's requests for as long as its roll-out took, since traffic went to all versions alike.

Cause: the orders were never read, and a replica's version was dropped on the way to the choice of a replica. Class of fault: a bound on the sum over all instances with no mechanism behind it.

Change: - Orders are records like others: watched by few instances and relayed. The plan of a window stays below the bound even if the version turns bad in its last moment: the trial share for three quarters, twice as much until 0.6 s before the end, then everything. - Evidence of all instances (failures and slow replies, by route) is merged through the exchange that strikes use and compared with the old version's by the sequential test of the existing moves. A verdict stops the version everywhere, spreads without the platform and is written as the status. - An instance without contact to the platform, just started or paused sends the new version nothing. Retries and hedges go to the old version.

--- a/crates/marigoldloom_catalog/src/catalog.rs
+++ b/crates/marigoldloom_catalog/src/catalog.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use marigoldloom_records::version_move::Order;
 use marigoldloom_runtime::time::Timestamp;
 
 use crate::configuration::Configuration;
@@ -33,6 +34,7 @@
     previous: Option<Configuration>,
     replicas: BTreeMap<Arc<str>, ReplicaEntry>,
     evacuated: BTreeSet<Arc<str>>,
+    moves: BTreeMap<Arc<str>, Order>,
     listed_kinds: BTreeSet<Kind>,
 }
 
@@ -66,6 +68,7 @@
             previous: None,
             replicas: BTreeMap::new(),
             evacuated: BTreeSet::new(),
+            moves: BTreeMap::new(),
             listed_kinds: BTreeSet::new(),
         }
     }
@@ -83,6 +86,7 @@
             Kind::Configuration => Vec::new(),
             Kind::Replicas => not_listed(self.replicas.keys(), &names),
             Kind::Evacuations => not_listed(self.evacuated.iter(), &names),
+            Kind::Moves => not_listed(self.moves.keys(), &names),
         };
         for name in removed {
             self.set(kind, name, None, now, recovered_at);
@@ -123,6 +127,12 @@
                 tracing::info!(domain = %name, "the failure domain takes work again");
                 self.evacuated.remove(&name);
             }
+            (Kind::Moves, Some(Record::Move(order))) => {
+                self.moves.insert(name, order);
+            }
+            (Kind::Moves, None) => {
+                self.moves.remove(&name);
+            }
             (Kind::Configuration, None) => {
                 tracing::warn!(
                     "the configuration was removed from the platform; the last one stays in force"
@@ -228,6 +238,7 @@
             current,
             previous: self.previous.as_ref(),
             replicas: &replicas,
+            moves: self.moves.values().cloned().collect(),
         };
         Some(inputs.view())
     }
--- a/crates/marigoldloom_catalog/src/feed.rs
+++ b/crates/marigoldloom_catalog/src/feed.rs
@@ -100,6 +100,12 @@
         }
     }
 
+    /// Returns whether this instance is connected to the platform, directly or through other
+    /// instances.
+    pub fn is_live(&self) -> bool {
+        self.state().live
+    }
+
     /// Sets when the platform last answered again after an outage.
     pub fn set_recovered(&self, at: Timestamp) {
         self.state().recovered_at = Some(at);
--- a/crates/marigoldloom_catalog/src/source.rs
+++ b/crates/marigoldloom_catalog/src/source.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use derive_more::derive;
+use marigoldloom_records::version_move::{Order, Phase};
 use serde::{Deserialize, Serialize};
 
 use crate::configuration::Configuration;
@@ -23,11 +24,19 @@
     /// Failure domains that get no new work, one record each.
     #[display("evacuations")]
     Evacuations,
+    /// Orders to move a service's traffic to a version, one record for each service.
+    #[display("version moves")]
+    Moves,
 }
 
 impl Kind {
     /// All kinds.
-    pub const ALL: [Self; 3] = [Self::Configuration, Self::Replicas, Self::Evacuations];
+    pub const ALL: [Self; 4] = [
+        Self::Configuration,
+        Self::Replicas,
+        Self::Evacuations,
+        Self::Moves,
+    ];
 }
 
 /// One decoded record of the platform.
@@ -41,6 +50,8 @@
     Replica(Replica),
     /// A failure domain that gets no new work; the record's name is the domain's name.
     Evacuation,
+    /// An order to move a service's traffic to a version.
+    Move(Order),
     /// A record that could not be decoded.
     Invalid(Invalid),
 }
@@ -145,6 +156,13 @@
     /// Registers the instance `own`, or updates its earlier registration.
     fn register(&self, own: &Member) -> impl Future<Output = Result<(), Error>> + Send;
 
+    /// Writes the phase of a version move as the status of its order.
+    fn set_phase(
+        &self,
+        order: &Order,
+        phase: Phase,
+    ) -> impl Future<Output = Result<(), Error>> + Send;
+
     /// Saves an entry of the instances' control state that must outlive all of them. An entry with
     /// the same name is replaced.
     fn save_entry(
--- a/crates/marigoldloom_catalog/src/view.rs
+++ b/crates/marigoldloom_catalog/src/view.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use marigoldloom_records::version_move::Order;
 use marigoldloom_records::{record, service};
 use marigoldloom_routing::topology;
 use marigoldloom_runtime::time::Timestamp;
@@ -36,6 +37,8 @@
     pub limits: Limits,
     /// Number of connections that one replica accepts from all instances together, by service.
     pub connections: BTreeMap<Arc<str>, u32>,
+    /// Orders to move a service's traffic to a version.
+    pub moves: Arc<[Order]>,
     /// Services that the routing engine serves, by the names that [`backend_key`] returns.
     pub topology: Arc<topology::Topology>,
 }
@@ -66,7 +69,7 @@
 }
 
 /// Data that a view is built from.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Inputs<'a> {
     /// Failure domain of this instance.
     pub(crate) own_domain: &'a Arc<str>,
@@ -78,6 +81,8 @@
     pub(crate) previous: Option<&'a Configuration>,
     /// All known replicas.
     pub(crate) replicas: &'a [ReplicaState<'a>],
+    /// Orders to move a service's traffic to a version.
+    pub(crate) moves: Arc<[Order]>,
 }
 
 /// A replica's record and what the catalog derives from it.
@@ -112,6 +117,7 @@
             table: Table::new(&self.current.routes),
             limits: self.current.limits,
             connections: connections.collect(),
+            moves: Arc::clone(&self.moves),
             topology: Arc::new(topology::Topology::new(
                 Arc::clone(self.own_domain),
                 services,
@@ -177,6 +183,7 @@
             distance: topology::Distance::between(self.own_domain, &replica.domain, |domain| {
                 self.regions.get(domain)
             }),
+            version: Arc::from(replica.version.as_str()),
             snapshot: snapshot(),
             shards: vec![0],
             slots: replica.slots.max(1),
--- a/crates/marigoldloom_catalog/tests/support/mod.rs
+++ b/crates/marigoldloom_catalog/tests/support/mod.rs
@@ -15,6 +15,7 @@
     Change, Changes, Error, Kind, Listing, Record, Revision, SavedEntry, Source,
 };
 use marigoldloom_catalog::view;
+use marigoldloom_records::version_move::{Order, Phase};
 use marigoldloom_routing::home;
 use marigoldloom_runtime::runtime::Runtime;
 use marigoldloom_testkit::virtual_runtime::VirtualRuntime;
@@ -139,6 +140,10 @@
         })
     }
 
+    async fn set_phase(&self, _order: &Order, _phase: Phase) -> Result<(), Error> {
+        self.answer(|_| ()).await
+    }
+
     async fn save_entry(&self, _name: &str, _content: &str) -> Result<(), Error> {
         self.answer(|_| ()).await
     }
--- a/crates/marigoldloom_front/src/decisions.rs
+++ b/crates/marigoldloom_front/src/decisions.rs
@@ -3,18 +3,25 @@
 
 use std::sync::Arc;
 
+use marigoldloom_moves::window;
 use marigoldloom_peers::exchange::{Entry, Exchange};
+use marigoldloom_query::answer::Reason;
 use marigoldloom_query::hooks::{Decision, FinishedAttempt, Observer, Purpose, StrikeChange};
 use marigoldloom_runtime::runtime::Runtime;
 use marigoldloom_telemetry::metrics::Metrics;
 
 use crate::exchange::PeerExchange;
+use crate::moves::Moves;
 use crate::strikes;
 
+/// Latency of a slow reply during a version move, as a multiple of the delay before a hedge.
+const SLOW_FACTOR: u32 = 2;
+
 /// Logs each decision of the engine and each failed attempt, and counts all attempts. Passes
-/// strikes to the other instances.
+/// attempts to the version moves, and strikes to the other instances.
 pub(crate) struct DecisionLog<R> {
     pub(crate) metrics: Metrics,
+    pub(crate) moves: Moves<R>,
     pub(crate) exchange: PeerExchange<R>,
     /// Name under which this process publishes its strikes.
     pub(crate) writer: Arc<str>,
@@ -22,8 +29,28 @@
     pub(crate) saved: async_channel::Sender<Entry>,
 }
 
+impl<R: Runtime> DecisionLog<R> {
+    fn observe_version(&self, attempt: &FinishedAttempt<'_>) {
+        let failed = match attempt.failure {
+            None => false,
+            Some(Reason::Failed | Reason::Lost | Reason::TimedOut | Reason::Mismatch) => true,
+            // The upstream has not run the request.
+            Some(_) => return,
+        };
+        let slow = attempt.slow_after;
+        self.moves.observe(&window::Attempt {
+            service: attempt.shard_service,
+            route: attempt.route,
+            version: attempt.version,
+            failed,
+            slow: slow.map(|limit| attempt.latency > limit * SLOW_FACTOR),
+        });
+    }
+}
+
 impl<R: Runtime> Observer for DecisionLog<R> {
     fn attempt_finished(&self, attempt: &FinishedAttempt<'_>) {
+        self.observe_version(attempt);
         let reason = purpose_label(attempt.purpose);
         let ok = attempt.failure.is_none();
         self.metrics.record_subquery(attempt.service, reason, ok);
@@ -33,6 +60,7 @@
         tracing::info!(
             request = attempt.request,
             upstream = attempt.upstream,
+            version = attempt.version,
             service = attempt.service,
             purpose = reason,
             latency_ms = attempt.latency.as_millis(),
--- a/crates/marigoldloom_front/src/homes.rs
+++ b/crates/marigoldloom_front/src/homes.rs
@@ -204,6 +204,7 @@
             },
             domain,
             distance,
+            version: Arc::default(),
             snapshot: service::Snapshot {
                 version: String::new(),
                 epoch: 0,
--- a/crates/marigoldloom_front/src/instance.rs
+++ b/crates/marigoldloom_front/src/instance.rs
@@ -9,7 +9,6 @@
 use derive_more::derive;
 use futures::StreamExt;
 use marigoldloom_catalog::catalog::Place;
-use marigoldloom_catalog::feed::Feed;
 use marigoldloom_catalog::fleet;
 use marigoldloom_catalog::follower::{self, LatestView, Sources};
 use marigoldloom_catalog::relay::Roster;
@@ -37,6 +36,7 @@
 use crate::front::{self, Front};
 use crate::homes::{self, Homes};
 use crate::listener::{self, Handler, Stop};
+use crate::moves::{self, Moves, Versions};
 use crate::records::Peers;
 use crate::sharing::Sharing;
 use crate::strikes;
@@ -83,6 +83,9 @@
     pub capacity: f64,
     /// Extra attempts that the operators allow per service.
     pub allowance: Allowance,
+    /// Largest part of a service's requests that a bad version may get during a version move,
+    /// between 0 and 1.
+    pub exposure: f64,
     /// Limits on connections to replicas.
     pub client: client::Settings,
 }
@@ -130,12 +133,14 @@
     rt.spawn(client.clone().sweep());
     let writer: Arc<str> = Arc::from(format!("{}@{}", settings.name, rt.wall().0));
     let exchange = PeerExchange::new(rt, Arc::clone(&settings.name));
+    let moves = Moves::new(rt, exchange.clone(), Arc::clone(&writer), settings.exposure);
     let (saved, queue) = async_channel::bounded(strikes::SAVE_QUEUE);
     let hooks = hooks::HookSet {
-        versions: hooks::ActiveVersion,
+        versions: Versions(moves.clone()),
         leases: cold::SingleInstance,
         observer: DecisionLog {
             metrics: metrics.clone(),
+            moves: moves.clone(),
             exchange: exchange.clone(),
             writer,
             saved,
@@ -153,8 +158,13 @@
         homes: Arc::new(homes),
         allowance: Mutex::new(settings.allowance),
         exchange: exchange.clone(),
+        moves: moves.clone(),
+        feed: Arc::default(),
     });
-    let feed = follow(rt, source, own, &settings.place, &sharing);
+    let feed = Arc::clone(&sharing.feed);
+    follow(rt, source.clone(), own, &settings.place, &sharing);
+    let latest = sharing.latest.clone();
+    rt.spawn(moves::run(rt, source, moves, latest, Arc::clone(&feed)));
     let stop = Stop::default();
     let latest = sharing.latest.clone();
     let front = Front::new(front::Shared {
@@ -258,26 +268,23 @@
 }
 
 /// Starts to follow the list of instances and the platform's records and to apply their changes.
-/// Returns the feed that serves the records to other instances.
 fn follow<S, D, H>(
     rt: AsyncStd,
     source: S,
     own: fleet::Member,
     place: &Place,
     sharing: &Arc<Sharing<AsyncStd, D, H>>,
-) -> Arc<Feed>
-where
+) where
     S: Source,
     D: Dialect,
     H: Hooks,
 {
     let roster = Arc::new(Roster::new(own.candidate.clone()));
-    let feed = Arc::new(Feed::default());
     let sources = Sources {
         platform: source.clone(),
         peers: Peers::new(rt),
         roster: Arc::clone(&roster),
-        feed: Arc::clone(&feed),
+        feed: Arc::clone(&sharing.feed),
     };
     let counted = Arc::clone(sharing);
     let apply = move |members| counted.set_members(members);
@@ -285,7 +292,6 @@
     let viewed = Arc::clone(sharing);
     let apply = move |view| viewed.set_view(view);
     rt.spawn(follower::follow(rt, sources, place.clone(), apply));
-    feed
 }
 
 fn engine_settings(settings: &Settings) -> engine::Settings {
--- a/crates/marigoldloom_front/src/lib.rs
+++ b/crates/marigoldloom_front/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod instance;
 pub mod listener;
 pub mod merge;
+mod moves;
 mod peer_client;
 mod records;
 mod rejection;
--- a/crates/marigoldloom_front/src/sharing.rs
+++ b/crates/marigoldloom_front/src/sharing.rs
@@ -3,6 +3,7 @@
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use marigoldloom_catalog::feed::Feed;
 use marigoldloom_catalog::fleet::Member;
 use marigoldloom_catalog::follower::LatestView;
 use marigoldloom_catalog::view::View;
@@ -16,6 +17,7 @@
 use crate::dialect::Dialect;
 use crate::exchange::PeerExchange;
 use crate::homes::Homes;
+use crate::moves::Moves;
 
 /// Share of a replica's connections, and of the load that it can take while it is cold, that all
 /// its regular senders use together, in percent.
@@ -34,6 +36,9 @@
     pub(crate) homes: Arc<Homes<R>>,
     pub(crate) allowance: Mutex<Allowance>,
     pub(crate) exchange: PeerExchange<R>,
+    pub(crate) moves: Moves<R>,
+    /// Records that this instance serves to others.
+    pub(crate) feed: Arc<Feed>,
 }
 
 impl<R: Runtime, D: Dialect, H: Hooks> Sharing<R, D, H>
@@ -68,6 +73,9 @@
         let view = Arc::new(view);
         self.homes.set_view(Arc::clone(&view));
         self.apply_limits(&view);
+        // An order must be in force before the first request reaches a replica of its version. The
+        // phases that are due are written at the next regular tick.
+        self.moves.tick(&view.moves, self.feed.is_live());
         self.engine.apply(Arc::clone(&view.topology));
         self.latest.set(view);
     }
--- a/crates/marigoldloom_moves/src/evidence.rs
+++ b/crates/marigoldloom_moves/src/evidence.rs
@@ -1,6 +1,7 @@
 //! Counters of the requests to both versions of a move.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use derive_more::derive;
 use marigoldloom_records::version_move;
@@ -41,6 +42,10 @@
 pub struct Report {
     /// Whether the instance found the move complete.
     pub done: bool,
+    /// Time since the start of the move by the instance's clock, in milliseconds; zero if the
+    /// move's record states the start.
+    #[serde(skip_serializing_if = "is_zero")]
+    pub elapsed_ms: u64,
     /// Counters by route, then by the step during which they were counted.
     pub routes: BTreeMap<String, BTreeMap<share::Step, CounterPair>>,
 }
@@ -97,6 +102,7 @@
     /// Merges another report of the same writer; each counter keeps its greater value.
     fn merge(&mut self, other: &Self) {
         self.done |= other.done;
+        self.elapsed_ms = self.elapsed_ms.max(other.elapsed_ms);
         for (route, by_step) in &other.routes {
             let own = self.routes.entry(route.clone()).or_default();
             for (&step, pair) in by_step {
@@ -126,6 +132,12 @@
         self.reports.values().any(|report| report.done)
     }
 
+    /// Returns the longest time since the start of the move that an instance has reported.
+    pub fn elapsed(&self) -> Duration {
+        let elapsed = self.reports.values().map(|report| report.elapsed_ms);
+        Duration::from_millis(elapsed.max().unwrap_or_default())
+    }
+
     /// Returns all routes with evidence.
     pub fn routes(&self) -> BTreeSet<&str> {
         let routes = self.reports.values().flat_map(|r| r.routes.keys());
@@ -158,6 +170,14 @@
     }
 }
 
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes a reference"
+)]
+const fn is_zero(value: &u64) -> bool {
+    *value == 0
+}
+
 const fn route_evidence(pair: CounterPair) -> version_move::RouteEvidence {
     version_move::RouteEvidence {
         requests: pair.new.requests,
--- a/crates/marigoldloom_moves/src/progress.rs
+++ b/crates/marigoldloom_moves/src/progress.rs
@@ -43,7 +43,7 @@
     /// The greatest step reached so far.
     reached: Step,
     /// Whether the new version is worse than the old one was recently, whatever the cause.
-    suspect: bool,
+    pub(crate) suspect: bool,
     /// Whether this or another instance found the move complete.
     pub(crate) done: bool,
     /// Whether evidence was evaluated at least once.
@@ -112,7 +112,7 @@
     }
 
     /// Adds what was counted since the last update.
-    fn add_evidence(&mut self, evidence: &MergedReports) {
+    pub(crate) fn add_evidence(&mut self, evidence: &MergedReports) {
         let mut pooled = LogRatios::default();
         let mut increase = BTreeMap::new();
         for route in evidence.routes() {
--- a/crates/marigoldloom_moves/src/share.rs
+++ b/crates/marigoldloom_moves/src/share.rs
@@ -233,6 +233,10 @@
 ///
 /// If it does, it also does at every greater step. All instances decide alike.
 pub fn uses_new_version(name: &str, request: u64, step: Step) -> bool {
-    let hash = xxh3::xxh3_64_with_seed(name.as_bytes(), request);
-    hash % 1_000 < step.per_mille()
+    hash(name, request) % 1_000 < step.per_mille()
+}
+
+/// Hash by which the move `name` chooses the version of a request.
+pub(crate) fn hash(name: &str, request: u64) -> u64 {
+    xxh3::xxh3_64_with_seed(name.as_bytes(), request)
 }
--- a/crates/marigoldloom_moves/src/status.rs
+++ b/crates/marigoldloom_moves/src/status.rs
@@ -48,49 +48,68 @@
     Failed,
 }
 
+/// Returns the decision to take the move `name` back, if an instance has made it.
+pub(crate) fn verdict(
+    exchange: &impl Exchange,
+    now: time::WallTime,
+    name: &str,
+) -> Option<Verdict> {
+    let entries = exchange.scan(Space::Verdict, name);
+    let entry = entries.into_iter().find(|entry| &*entry.name == name)?;
+    let known = entry.value.and_then(|v| serde_json::from_str(&v).ok());
+    // An entry that this build can't read is still a decision to take the move back.
+    Some(known.unwrap_or(Verdict {
+        reason: "another instance took the move back".to_owned(),
+        at_ms: now,
+    }))
+}
+
+/// Publishes the decision to take the move `name` back. It can't be undone.
+pub(crate) fn take_back(exchange: &impl Exchange, now: time::WallTime, name: &str, reason: &str) {
+    if verdict(exchange, now, name).is_some() {
+        return;
+    }
+    let verdict = Verdict {
+        reason: reason.to_owned(),
+        at_ms: now,
+    };
+    let value = serde_json::to_string(&verdict).ok();
+    exchange.publish(Entry {
+        space: Space::Verdict,
+        name: name.into(),
+        stamp: VERDICT_STAMP,
+        value: value.map(Arc::from),
+        expires: None,
+    });
+}
+
+/// Returns the evidence of all instances for the move `name`.
+pub(crate) fn merged_evidence(exchange: &impl Exchange, name: &str) -> evidence::MergedReports {
+    let prefix = format!("{name}/");
+    let mut merged = evidence::MergedReports::default();
+    for entry in exchange.scan(Space::Evidence, &prefix) {
+        let value = entry.value.as_deref().unwrap_or_default();
+        if let Ok(report) = serde_json::from_str(value) {
+            merged.add(&entry.name, &report);
+        }
+    }
+    merged
+}
+
 impl<R: runtime::Runtime, P: platform::Platform, E: Exchange> Inner<R, P, E> {
     /// Returns the decision to take the move back, if an instance has made it.
     pub(crate) fn verdict(&self, name: &str) -> Option<Verdict> {
-        let entries = self.exchange.scan(Space::Verdict, name);
-        let entry = entries.into_iter().find(|entry| &*entry.name == name)?;
-        let known = entry.value.and_then(|v| serde_json::from_str(&v).ok());
-        // An entry that this build can't read is still a decision to take the move back.
-        Some(known.unwrap_or(Verdict {
-            reason: "another instance took the move back".to_owned(),
-            at_ms: self.rt.wall(),
-        }))
+        verdict(&self.exchange, self.rt.wall(), name)
     }
 
     /// Publishes the decision to take the move back. It can't be undone.
     pub(crate) fn take_back(&self, name: &str, reason: &str) {
-        if self.verdict(name).is_some() {
-            return;
-        }
-        let verdict = Verdict {
-            reason: reason.to_owned(),
-            at_ms: self.rt.wall(),
-        };
-        let value = serde_json::to_string(&verdict).ok();
-        self.exchange.publish(Entry {
-            space: Space::Verdict,
-            name: name.into(),
-            stamp: VERDICT_STAMP,
-            value: value.map(Arc::from),
-            expires: None,
-        });
+        take_back(&self.exchange, self.rt.wall(), name, reason);
     }
 
     /// Returns the evidence of all instances for a move.
     pub(crate) fn merged_evidence(&self, name: &str) -> evidence::MergedReports {
-        let prefix = format!("{name}/");
-        let mut merged = evidence::MergedReports::default();
-        for entry in self.exchange.scan(Space::Evidence, &prefix) {
-            let value = entry.value.as_deref().unwrap_or_default();
-            if let Ok(report) = serde_json::from_str(value) {
-                merged.add(&entry.name, &report);
-            }
-        }
-        merged
+        merged_evidence(&self.exchange, name)
     }
 
     /// Writes the move's final status after `delay`; retries until the record holds one.
--- /dev/null
+++ b/crates/marigoldloom_moves/src/window.rs
@@ -0,0 +1,538 @@
+//! Moves of replicated services within a window of seconds.
+//!
+//! The part of the service's requests that the new version gets over the whole window stays within
+//! a bound, whenever it turns out to be bad: each instance sends it the same small share of its own
+//! requests, so that the bound holds in sum without a count over all instances. The share rises to
+//! the whole only in the last moments of the window, by a plan that leaves room for a fault that
+//! shows only then. An instance that can't learn of the others' decisions sends it nothing.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::time::Duration;
+
+use marigoldloom_peers::exchange::{Entry, Exchange, Space};
+use marigoldloom_records::version_move::{Order, Phase};
+use marigoldloom_routing::topology;
+use marigoldloom_runtime::runtime::Runtime;
+use marigoldloom_runtime::time::{self, Timestamp};
+
+use crate::evidence::{MergedReports, Report};
+use crate::progress::Progress;
+use crate::share::{self, Step};
+use crate::status;
+
+/// Interval at which [`WindowedMoves::tick`] must be called while there are orders.
+pub const TICK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Age of the last tick from which the new version gets no requests: the process was paused and may
+/// have missed a decision.
+const MAX_AGE: Duration = Duration::from_secs(1);
+
+/// Time after the start of the process in which the new version gets no requests, because decisions
+/// that were made before are not known yet.
+const STARTUP_HOLD: Duration = Duration::from_secs(2);
+
+/// Time between two evaluations of the evidence.
+const EVALUATION_PERIOD: Duration = Duration::from_millis(500);
+
+/// Longest time between two publications of evidence that shows no fault.
+const PUBLISH_PERIOD: Duration = Duration::from_secs(2);
+
+/// Part of the bound that the plan uses. The rest allows for the randomness of the choice by hash.
+const PLANNED_PART: f64 = 0.9;
+
+/// Part of the window before the trial share is doubled.
+const TRIAL_PART: f64 = 0.75;
+
+/// Time before the end of the window at which all requests go to the new version.
+const SWITCH_MARGIN: Duration = Duration::from_millis(600);
+
+/// Time before the end of the window at which the move is declared done, so that requests to the
+/// old version have ended when its replicas stop.
+const DONE_MARGIN: Duration = Duration::from_millis(350);
+
+/// Shortest window that leaves time for a trial; a shorter one counts as this one.
+const MIN_WINDOW: Duration = Duration::from_secs(2);
+
+/// Time after the end of a move for which its evidence and verdict are kept.
+const RETENTION: Duration = Duration::from_secs(600);
+
+/// All requests, in thousandths.
+const ALL: u64 = 1_000;
+
+/// A finished attempt, as evidence about the version of its upstream.
+#[derive(Clone, Copy, Debug)]
+pub struct Attempt<'a> {
+    /// Name of the replicated service.
+    pub service: &'a str,
+    /// Name of the route.
+    pub route: &'a str,
+    /// Version of the upstream's software.
+    pub version: &'a str,
+    /// Whether the attempt failed, and the version may be the cause.
+    pub failed: bool,
+    /// Whether the reply came later than usual for the service and route; `None` if that tells
+    /// nothing, as on a cold upstream.
+    pub slow: Option<bool>,
+}
+
+/// Where this instance's requests to one service go.
+#[derive(Clone, Debug)]
+struct Route {
+    name: Arc<str>,
+    target: Arc<str>,
+    step: Step,
+    /// Share of the requests that go to the target, in thousandths.
+    share: u64,
+    /// Versions that get no requests otherwise.
+    excluded: Arc<BTreeSet<Arc<str>>>,
+}
+
+#[derive(Debug, Default)]
+struct Table {
+    built_at: Timestamp,
+    routes: BTreeMap<Arc<str>, Route>,
+}
+
+/// State of one move on this instance.
+struct Move {
+    order: Order,
+    /// Start of the window by this instance's clock. Moved back if another instance has known the
+    /// order for longer.
+    start: Timestamp,
+    progress: Progress,
+    /// Final phase, once it is decided.
+    decided: Option<Phase>,
+    /// Whether all requests go to the new version.
+    switched: bool,
+    published_at: Option<Timestamp>,
+    /// Number of bad replies of the new version in the last published report.
+    published_bad: u64,
+}
+
+struct State {
+    moves: BTreeMap<Arc<str>, Move>,
+    /// Own evidence by move.
+    reports: BTreeMap<Arc<str>, Report>,
+    /// Versions that were taken back, by service.
+    rejected: BTreeMap<Arc<str>, BTreeSet<Arc<str>>>,
+    evaluated_at: Timestamp,
+}
+
+struct Inner<R, X> {
+    rt: R,
+    exchange: X,
+    /// Name under which this process publishes its evidence.
+    writer: Arc<str>,
+    started: Timestamp,
+    /// Largest part of a service's requests that a bad version may get.
+    bound: f64,
+    table: RwLock<Arc<Table>>,
+    state: Mutex<State>,
+}
+
+/// The moves of one instance. Clones share their state.
+pub struct WindowedMoves<R, X> {
+    inner: Arc<Inner<R, X>>,
+}
+
+impl<R, X> Clone for WindowedMoves<R, X> {
+    fn clone(&self) -> Self {
+        Self {
+            inner: Arc::clone(&self.inner),
+        }
+    }
+}
+
+impl<R: Runtime, X: Exchange> WindowedMoves<R, X> {
+    /// Creates the moves of the process `writer`. Over a whole window, a bad version gets at most
+    /// the part `bound` of a service's requests.
+    pub fn new(rt: R, exchange: X, writer: Arc<str>, bound: f64) -> Self {
+        let started = rt.now();
+        Self {
+            inner: Arc::new(Inner {
+                rt,
+                exchange,
+                writer,
+                started,
+                bound,
+                table: RwLock::default(),
+                state: Mutex::new(State {
+                    moves: BTreeMap::new(),
+                    reports: BTreeMap::new(),
+                    rejected: BTreeMap::new(),
+                    evaluated_at: started,
+                }),
+            }),
+        }
+    }
+
+    /// Returns which replicas of `service` an attempt may use. `request` is the hash of the request
+    /// id. Only first attempts may go to a version on trial, so that retries help its callers.
+    pub fn filter(&self, service: &str, request: u64, first: bool) -> topology::VersionFilter {
+        let table = self.table();
+        let Some(route) = table.routes.get(service) else {
+            return topology::VersionFilter::default();
+        };
+        let fresh = self.inner.rt.now().since(table.built_at) <= MAX_AGE;
+        let chosen = match route.share {
+            0 => false,
+            ALL => true,
+            share => first && fresh && is_chosen(&route.name, request, share),
+        };
+        topology::VersionFilter {
+            preferred: chosen.then(|| Arc::clone(&route.target)),
+            excluded: (!route.excluded.is_empty()).then(|| Arc::clone(&route.excluded)),
+        }
+    }
+
+    /// Counts a finished attempt if a move of its service is under way.
+    pub fn observe(&self, attempt: &Attempt<'_>) {
+        let table = self.table();
+        let Some(route) = table.routes.get(attempt.service) else {
+            return;
+        };
+        let mut state = self.state();
+        let report = state.reports.entry(Arc::clone(&route.name)).or_default();
+        if !report.routes.contains_key(attempt.route) {
+            report
+                .routes
+                .insert(attempt.route.to_owned(), BTreeMap::new());
+        }
+        let Some(steps) = report.routes.get_mut(attempt.route) else {
+            return;
+        };
+        let pair = steps.entry(route.step).or_default();
+        let counters = match *attempt.version == *route.target {
+            true => &mut pair.new,
+            false => &mut pair.old,
+        };
+        counters.requests += 1;
+        counters.failures += u64::from(attempt.failed);
+        let slow = attempt.slow.filter(|_| !attempt.failed);
+        counters.timed += u64::from(slow.is_some());
+        counters.slow += u64::from(slow == Some(true));
+    }
+
+    /// Evaluates all moves and applies the decisions. `connected` tells whether this instance learns
+    /// of changes on the platform. Returns the orders with the phase that their status must state.
+    pub fn tick(&self, orders: &[Order], connected: bool) -> Vec<Order> {
+        let now = self.inner.rt.now();
+        let mut state = self.state();
+        state.update_orders(orders, now);
+        let evaluate = now.since(state.evaluated_at) >= EVALUATION_PERIOD;
+        if evaluate {
+            state.evaluated_at = now;
+        }
+        let State { moves, reports, .. } = &mut *state;
+        for (name, active) in moves.iter_mut() {
+            if active.decided.is_none() {
+                let own = reports.entry(Arc::clone(name)).or_default();
+                self.update(active, own, now, evaluate);
+            }
+        }
+        state.note_rejections();
+        let table = self.build_table(&state, now, connected);
+        let due = state.moves.values().filter_map(Move::due_status);
+        let due = due.collect();
+        drop(state);
+        let mut current = self
+            .inner
+            .table
+            .write()
+            .unwrap_or_else(PoisonError::into_inner);
+        *current = Arc::new(table);
+        due
+    }
+
+    /// Returns whether this instance has evidence of its own about the move `name`.
+    pub fn has_evidence(&self, name: &str) -> bool {
+        let state = self.state();
+        state
+            .reports
+            .get(name)
+            .is_some_and(|report| !report.routes.is_empty())
+    }
+
+    fn table(&self) -> Arc<Table> {
+        let table = self.inner.table.read();
+        Arc::clone(&table.unwrap_or_else(PoisonError::into_inner))
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        let state = self.inner.state.lock();
+        state.unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Updates a move that is under way.
+    fn update(&self, active: &mut Move, own: &mut Report, now: Timestamp, evaluate: bool) {
+        let Inner {
+            rt,
+            exchange,
+            writer,
+            ..
+        } = &*self.inner;
+        let name = Arc::clone(&active.order.name);
+        let writer = format!("{name}/{writer}");
+        let mut merged = status::merged_evidence(exchange, &name);
+        merged.add(&writer, own);
+        active.adjust_start(now, merged.elapsed());
+        let elapsed = now.since(active.start);
+        if evaluate {
+            active.progress.add_evidence(&merged);
+            own.elapsed_ms = time::millis(elapsed);
+            self.publish(active, &writer, own, now);
+        }
+        let reason = match &active.progress.alarm {
+            Some(alarm) => Some(alarm.to_string()),
+            None if elapsed >= active.window() && !active.switched => {
+                Some("proof is missing at the end of the window".to_owned())
+            }
+            None => None,
+        };
+        if let Some(reason) = reason {
+            status::take_back(exchange, rt.wall(), &name, &reason);
+        }
+        let verdict = status::verdict(exchange, rt.wall(), &name);
+        active.decide(verdict.as_ref(), &merged, elapsed);
+    }
+
+    /// Publishes this instance's evidence at once if it shows new bad replies of the new version,
+    /// otherwise at regular intervals.
+    fn publish(&self, active: &mut Move, writer: &str, own: &Report, now: Timestamp) {
+        let bad = bad_replies(own);
+        let due = active
+            .published_at
+            .is_none_or(|at| now.since(at) >= PUBLISH_PERIOD);
+        if !due && bad == active.published_bad {
+            return;
+        }
+        active.published_at = Some(now);
+        active.published_bad = bad;
+        let wall = self.inner.rt.wall();
+        let value = serde_json::to_string(own).ok();
+        self.inner.exchange.publish(Entry {
+            space: Space::Evidence,
+            name: Arc::from(writer),
+            stamp: wall.0,
+            value: value.map(Arc::from),
+            expires: Some(wall + active.order.window + RETENTION),
+        });
+    }
+
+    fn build_table(&self, state: &State, now: Timestamp, connected: bool) -> Table {
+        let held = now.since(self.inner.started) < STARTUP_HOLD;
+        let mut routes = BTreeMap::new();
+        for active in state.moves.values() {
+            let service = &active.order.service;
+            let (step, share) = active.share(now, self.inner.bound);
+            let usable = connected && !held;
+            let mut excluded = state.rejected.get(service).cloned().unwrap_or_default();
+            match active.decided {
+                Some(_) => {}
+                // Whether the old or the new replicas have stopped can't be known here.
+                None if !connected && active.is_over(now) => {}
+                None => {
+                    excluded.insert(Arc::clone(&active.order.version));
+                }
+            }
+            let route = Route {
+                name: Arc::clone(&active.order.name),
+                target: Arc::clone(&active.order.version),
+                step,
+                share: if usable || active.switched { share } else { 0 },
+                excluded: Arc::new(excluded),
+            };
+            routes.insert(Arc::clone(service), route);
+        }
+        for (service, rejected) in &state.rejected {
+            routes.entry(Arc::clone(service)).or_insert_with(|| Route {
+                name: Arc::default(),
+                target: Arc::default(),
+                step: Step::None,
+                share: 0,
+                excluded: Arc::new(rejected.clone()),
+            });
+        }
+        Table {
+            built_at: now,
+            routes,
+        }
+    }
+}
+
+impl State {
+    /// Adds new orders and drops those that were withdrawn.
+    fn update_orders(&mut self, orders: &[Order], now: Timestamp) {
+        self.moves
+            .retain(|name, _| orders.iter().any(|order| order.name == *name));
+        self.reports
+            .retain(|name, _| orders.iter().any(|order| order.name == *name));
+        for order in orders {
+            if let Some(rejected) = self.rejected.get_mut(&order.service)
+                && order.phase != Some(Phase::TakenBack)
+                && !self.moves.contains_key(&order.name)
+            {
+                // The operator orders the version again.
+                rejected.remove(&order.version);
+            }
+            let active = self.moves.entry(Arc::clone(&order.name));
+            let active = active.or_insert_with(|| Move::new(order.clone(), now));
+            active.set_order(order);
+        }
+    }
+
+    /// Remembers the versions that were taken back: their replicas go on for a while, also after
+    /// the order was withdrawn.
+    fn note_rejections(&mut self) {
+        for active in self.moves.values() {
+            if active.decided == Some(Phase::TakenBack) {
+                let rejected = self.rejected.entry(Arc::clone(&active.order.service));
+                rejected
+                    .or_default()
+                    .insert(Arc::clone(&active.order.version));
+            }
+        }
+    }
+}
+
+impl Move {
+    fn new(order: Order, now: Timestamp) -> Self {
+        tracing::info!(
+            service = %order.service,
+            version = %order.version,
+            window_ms = time::millis(order.window),
+            phase = ?order.phase,
+            "version move ordered"
+        );
+        Self {
+            order,
+            start: now,
+            progress: Progress::default(),
+            decided: None,
+            switched: false,
+            published_at: None,
+            published_bad: 0,
+        }
+    }
+
+    fn set_order(&mut self, order: &Order) {
+        self.order = order.clone();
+        match order.phase {
+            Some(phase @ (Phase::Done | Phase::TakenBack)) if self.decided != Some(phase) => {
+                self.log("version move ended", phase);
+                self.decided = Some(phase);
+            }
+            _ => {}
+        }
+    }
+
+    fn window(&self) -> Duration {
+        self.order.window.max(MIN_WINDOW)
+    }
+
+    fn is_over(&self, now: Timestamp) -> bool {
+        now.since(self.start) + SWITCH_MARGIN >= self.window()
+    }
+
+    /// Moves the start back if another instance has known the order for the time `elapsed`.
+    fn adjust_start(&mut self, now: Timestamp, elapsed: Duration) {
+        let start = Timestamp::ZERO + now.since(Timestamp::ZERO + elapsed);
+        self.start = self.start.min(start);
+    }
+
+    /// Decides at the end of the window, or when another instance has decided.
+    fn decide(
+        &mut self,
+        verdict: Option<&status::Verdict>,
+        merged: &MergedReports,
+        elapsed: Duration,
+    ) {
+        if let Some(verdict) = verdict {
+            self.decided = Some(Phase::TakenBack);
+            tracing::warn!(
+                service = %self.order.service,
+                version = %self.order.version,
+                elapsed_ms = time::millis(elapsed),
+                reason = verdict.reason,
+                evidence = ?merged.summary(),
+                "version move taken back"
+            );
+            return;
+        }
+        let accepted =
+            !self.progress.suspect && new_requests(merged) >= share::MIN_EVIDENCE_REQUESTS;
+        if !self.switched && accepted && elapsed + SWITCH_MARGIN >= self.window() {
+            self.switched = true;
+            tracing::info!(
+                service = %self.order.service,
+                version = %self.order.version,
+                elapsed_ms = time::millis(elapsed),
+                evidence = ?merged.summary(),
+                "all requests go to the new version"
+            );
+        }
+        if self.switched && elapsed + DONE_MARGIN >= self.window() {
+            self.decided = Some(Phase::Done);
+            self.log("version move complete", Phase::Done);
+        }
+    }
+
+    fn log(&self, message: &str, phase: Phase) {
+        tracing::info!(
+            service = %self.order.service,
+            version = %self.order.version,
+            ?phase,
+            "{message}"
+        );
+    }
+
+    /// Returns the step and the share of requests that go to the new version, in thousandths.
+    fn share(&self, now: Timestamp, bound: f64) -> (Step, u64) {
+        match self.decided {
+            Some(Phase::TakenBack) => return (Step::None, 0),
+            Some(Phase::Done) => return (Step::Full, ALL),
+            _ if self.switched => return (Step::Full, ALL),
+            _ => {}
+        }
+        let window = self.window().as_secs_f64();
+        let switch = SWITCH_MARGIN.as_secs_f64() / window;
+        let second = 1.0 - TRIAL_PART - switch;
+        // The trial share for most of the window, twice as much until the switch, then everything.
+        let trial = (bound * PLANNED_PART - switch) / (TRIAL_PART + 2.0 * second.max(0.0));
+        let trial = trial.clamp(0.0, bound);
+        let in_trial = now.since(self.start).as_secs_f64() < window * TRIAL_PART;
+        let (step, share) = match in_trial || self.progress.suspect {
+            true => (Step::Five, trial),
+            false => (Step::Quarter, trial * 2.0),
+        };
+        (step, (share * ALL as f64) as u64)
+    }
+
+    /// Returns the order with the phase that its status must state; `None` if it states that.
+    fn due_status(&self) -> Option<Order> {
+        let phase = Some(self.decided.unwrap_or(Phase::Running));
+        (self.order.phase != phase).then(|| Order {
+            phase,
+            ..self.order.clone()
+        })
+    }
+}
+
+/// Returns whether a request goes to the new version at a share in thousandths. All instances decide
+/// alike, so that a forwarded request gets the same version.
+fn is_chosen(name: &str, request: u64, share: u64) -> bool {
+    share::hash(name, request) % ALL < share
+}
+
+fn new_requests(merged: &MergedReports) -> u64 {
+    let routes = merged.routes().into_iter();
+    routes
+        .map(|route| merged.total(route, &Step::ALL).new.requests)
+        .sum()
+}
+
+fn bad_replies(report: &Report) -> u64 {
+    let pairs = report.routes.values().flat_map(BTreeMap::values);
+    pairs.map(|pair| pair.new.failures + pair.new.slow).sum()
+}
--- a/crates/marigoldloom_moves/tests/merge.rs
+++ b/crates/marigoldloom_moves/tests/merge.rs
@@ -57,6 +57,7 @@
         routes.entry(route).or_default().insert(step, pair);
     }
     Report {
+        elapsed_ms: u64::from(u8::arbitrary(g)),
         done: bool::arbitrary(g),
         routes,
     }
--- a/crates/marigoldloom_query/src/attempt.rs
+++ b/crates/marigoldloom_query/src/attempt.rs
@@ -44,8 +44,10 @@
     pub(crate) cold: bool,
     health: Arc<health::Health>,
     started: Timestamp,
-    /// An attempt abandoned after at least this time counts as a slow reply.
+    /// A reply that takes longer, or an attempt abandoned after at least this time, is slow.
     slow_after: Duration,
+    /// Replicated service of the shard.
+    shard_service: Arc<str>,
     /// Whether no result was recorded yet.
     pending: bool,
 }
@@ -70,6 +72,7 @@
         selected: SelectedReplica,
         purpose: hooks::Purpose,
         slow_after: Duration,
+        shard_service: &Arc<str>,
     ) -> Option<Self> {
         let now = core.rt.now();
         let name = &selected.replica.target.name;
@@ -90,6 +93,7 @@
             health: selected.health,
             started: now,
             slow_after,
+            shard_service: Arc::clone(shard_service),
             pending: true,
         })
     }
@@ -139,9 +143,13 @@
             .attempt_finished(&hooks::FinishedAttempt {
                 request: &subquery.request.0,
                 service: &subquery.service,
+                shard_service: &self.shard_service,
+                route: &subquery.route,
                 upstream: &self.replica.target.name,
+                version: &self.replica.version,
                 purpose: self.purpose,
                 latency,
+                slow_after: (!self.cold).then_some(self.slow_after),
                 failure: result.as_ref().err().map(answer::Reason::from),
             });
     }
--- a/crates/marigoldloom_query/src/engine.rs
+++ b/crates/marigoldloom_query/src/engine.rs
@@ -313,6 +313,7 @@
             core: &self.core,
             request,
             service: self.core.service(&request.service),
+            view: Arc::clone(view),
             shard_services: view
                 .shard_services()
                 .iter()
--- a/crates/marigoldloom_query/src/hooks.rs
+++ b/crates/marigoldloom_query/src/hooks.rs
@@ -6,7 +6,7 @@
 
 use marigoldloom_limits::{cold, fingerprint};
 use marigoldloom_records::{class, service};
-use marigoldloom_routing::health;
+use marigoldloom_routing::{health, topology};
 use marigoldloom_telemetry::event;
 
 use crate::answer;
@@ -15,6 +15,12 @@
 pub trait Versions: Send + Sync + 'static {
     /// Returns the version for a request. `hash` is the hash of the request id.
     fn choose(&self, service: &service::Service, route: &str, hash: u64) -> String;
+
+    /// Returns which replicas an attempt may use. `service` is the replicated service of the shard,
+    /// `hash` the hash of the request id, and `first` tells whether this is the first attempt.
+    fn filter(&self, _service: &str, _hash: u64, _first: bool) -> topology::VersionFilter {
+        topology::VersionFilter::default()
+    }
 }
 
 /// Always chooses the version that the service record marks as active.
@@ -78,12 +84,20 @@
     pub request: &'a str,
     /// Name of the service.
     pub service: &'a str,
+    /// Name of the replicated service of the shard; the same as `service` unless that is composed.
+    pub shard_service: &'a str,
+    /// Name of the route.
+    pub route: &'a str,
     /// Name of the upstream.
     pub upstream: &'a str,
+    /// Version of the upstream's software.
+    pub version: &'a str,
     /// Why the subquery was sent.
     pub purpose: Purpose,
     /// Time from dispatch to the result.
     pub latency: Duration,
+    /// Latency above which a reply counts as slow; `None` on a cold upstream.
+    pub slow_after: Option<Duration>,
     /// Why the attempt gave no part; `None` if it succeeded.
     pub failure: Option<answer::Reason>,
 }
--- a/crates/marigoldloom_query/src/selection.rs
+++ b/crates/marigoldloom_query/src/selection.rs
@@ -42,15 +42,28 @@
 }
 
 impl<R: Runtime, U: upstream::Upstream, H: Hooks> Query<'_, R, U, H> {
-    /// Selects a replica for the next attempt. Replicas that were not tried yet come first.
+    /// Selects a replica for the next attempt. Replicas that were not tried yet come first, and of
+    /// these the ones with the preferred version.
     pub(crate) fn select_replica(&self, shard: u32, history: &AttemptHistory) -> Selection {
         let all = self.replica_views(shard, &history.without_data);
-        let untried: Vec<_> = all
-            .iter()
-            .filter(|view| !history.tried.contains(&view.replica.target.name))
-            .collect();
+        let filter = self.version_filter(shard, history.is_empty());
+        let untried = |view: &&ReplicaView| !history.tried.contains(&view.replica.target.name);
+        if filter.preferred.is_some() {
+            let preferred = all.iter().filter(|view| filter.prefers(&view.replica));
+            let preferred: Vec<_> = preferred.filter(untried).collect();
+            let candidates: Vec<_> = preferred.iter().map(|view| view.candidate()).collect();
+            match choice::choose(&candidates, || self.core.rt.random()) {
+                Some(i) if !choice::all_ejected(&candidates) => {
+                    return Selection::Selected(preferred[i].select());
+                }
+                _ => {}
+            }
+        }
+        let allowed = all.iter().filter(|view| filter.allows(&view.replica));
+        let allowed: Vec<_> = allowed.collect();
+        let untried: Vec<_> = allowed.iter().copied().filter(untried).collect();
         let options = match untried.is_empty() {
-            true => all.iter().collect(),
+            true => allowed,
             false => untried,
         };
         let Some(topology) = self.core.topology() else {
@@ -104,6 +117,19 @@
         views.iter().any(local)
     }
 
+    /// Returns the usable replicas of a shard that an attempt after the first may use, except
+    /// `excluded`.
+    pub(crate) fn allowed_views(
+        &self,
+        shard: u32,
+        excluded: &BTreeSet<Arc<str>>,
+    ) -> Vec<ReplicaView> {
+        let filter = self.version_filter(shard, false);
+        let mut views = self.replica_views(shard, excluded);
+        views.retain(|view| filter.prefers(&view.replica) || filter.allows(&view.replica));
+        views
+    }
+
     /// Returns the usable replicas of a shard in the current topology, except `excluded`.
     pub(crate) fn replica_views(
         &self,
--- a/crates/marigoldloom_query/src/shard.rs
+++ b/crates/marigoldloom_query/src/shard.rs
@@ -11,7 +11,7 @@
 use futures::stream::{FuturesUnordered, StreamExt};
 use marigoldloom_limits::fingerprint;
 use marigoldloom_records::service;
-use marigoldloom_routing::choice;
+use marigoldloom_routing::{choice, topology};
 use marigoldloom_runtime::runtime::{self, Runtime};
 use marigoldloom_runtime::time::Timestamp;
 use marigoldloom_telemetry::event;
@@ -21,7 +21,7 @@
 use crate::answer::Reason;
 use crate::attempt;
 use crate::engine;
-use crate::hooks::{Hooks, Purpose};
+use crate::hooks::{Hooks, Purpose, Versions};
 use crate::request;
 use crate::selection::{ReplicaView, Selection};
 use crate::state;
@@ -58,6 +58,8 @@
     pub(crate) core: &'a Arc<state::Core<R, U, H>>,
     pub(crate) request: &'a request::Request,
     pub(crate) service: Arc<state::Service>,
+    /// The service at the start of the query.
+    pub(crate) view: Arc<topology::ServiceView>,
     /// State of the service behind each shard of a composed service; empty for other services.
     pub(crate) shard_services: Vec<Arc<state::Service>>,
     pub(crate) snapshot: Arc<service::Snapshot>,
@@ -106,6 +108,11 @@
 }
 
 impl AttemptHistory {
+    /// Whether no attempt was made yet.
+    pub(crate) const fn is_empty(&self) -> bool {
+        self.count == 0
+    }
+
     /// Records a failed attempt.
     pub(crate) fn record_failure(&mut self, upstream: &Arc<str>, error: upstream::Error) {
         let reason = Reason::from(&error);
@@ -179,6 +186,20 @@
         self.shard_services.get(index).unwrap_or(&self.service)
     }
 
+    /// Returns the name of the replicated service that serves `shard`.
+    fn shard_service_name(&self, shard: u32) -> &Arc<str> {
+        let index = usize::try_from(shard).unwrap_or(usize::MAX);
+        let names = self.view.shard_services();
+        names.get(index).unwrap_or(&self.request.service)
+    }
+
+    /// Returns which replicas of `shard` an attempt may use.
+    pub(crate) fn version_filter(&self, shard: u32, first: bool) -> topology::VersionFilter {
+        let name = self.shard_service_name(shard);
+        let versions = self.core.hooks.versions();
+        versions.filter(name, self.request.hash(), first)
+    }
+
     /// Sends the subquery of `shard` to the reserved replica. Returns the upstream's name with the
     /// result.
     pub(crate) async fn send(
@@ -336,6 +357,7 @@
             replica,
             purpose,
             self.base_hedge_delay(shard),
+            self.shard_service_name(shard),
         )?;
         if purpose == Purpose::First {
             self.shards_queried.fetch_add(1, Ordering::Relaxed);
@@ -362,7 +384,7 @@
             {
                 Err(reason)
             }
-            Some(_) if self.replica_views(shard, &history.tried).is_empty() => {
+            Some(_) if self.allowed_views(shard, &history.tried).is_empty() => {
                 let attempt = history.count;
                 let pause = runtime::backoff(&self.core.rt, attempt, BACKOFF_BASE, MAX_BACKOFF);
                 self.core.rt.sleep(pause.min(self.time_left())).await;
@@ -378,7 +400,7 @@
         shard: u32,
         history: &mut AttemptHistory,
     ) -> Option<attempt::Reservation<R, U, H>> {
-        let untried = self.replica_views(shard, &history.tried);
+        let untried = self.allowed_views(shard, &history.tried);
         let options: Vec<_> = untried
             .into_iter()
             .filter(|view| !history.without_data.contains(&view.replica.target.name))
@@ -391,8 +413,13 @@
         }
         let replica = options[chosen].select();
         let hedge_delay = self.base_hedge_delay(shard);
-        let reservation =
-            attempt::Reservation::reserve(self.core, replica, Purpose::Hedge, hedge_delay)?;
+        let reservation = attempt::Reservation::reserve(
+            self.core,
+            replica,
+            Purpose::Hedge,
+            hedge_delay,
+            self.shard_service_name(shard),
+        )?;
         history
             .tried
             .insert(Arc::clone(&reservation.replica.target.name));
--- a/crates/marigoldloom_records/src/version_move.rs
+++ b/crates/marigoldloom_records/src/version_move.rs
@@ -1,6 +1,8 @@
 //! A move of a service's traffic from one version to another, with a deadline.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
 
 use marigoldloom_runtime::time;
 use serde::{Deserialize, Serialize};
@@ -37,6 +39,23 @@
     pub extra: record::Extra,
 }
 
+/// An operator's order to move a replicated service to a version within a short time.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub struct Order {
+    /// Name of the move, without a slash. An order that is given again has another name.
+    pub name: Arc<str>,
+    /// Name of the replicated service.
+    pub service: Arc<str>,
+    /// Version that traffic moves to.
+    pub version: Arc<str>,
+    /// Time from the order until the move must be complete.
+    pub window: Duration,
+    /// Phase in the status of the order; `None` before the first status is written.
+    pub phase: Option<Phase>,
+}
+
 /// Whether the operator wants a move to proceed or to be taken back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Deserialize, Serialize)]
@@ -64,7 +83,7 @@
 }
 
 /// Phase of a move. `Done` and `TakenBack` are final.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 #[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Phase {
--- a/crates/marigoldloom_routing/src/topology.rs
+++ b/crates/marigoldloom_routing/src/topology.rs
@@ -52,6 +52,8 @@
     pub domain: Arc<str>,
     /// Distance of the failure domain from this instance.
     pub distance: Distance,
+    /// Version of the upstream's software, which [`VersionFilter`] selects by.
+    pub version: Arc<str>,
     /// Snapshot that the upstream serves.
     pub snapshot: service::Snapshot,
     /// Shards of the snapshot that the upstream serves.
@@ -68,6 +70,28 @@
     pub usable: bool,
 }
 
+/// Which replicas of a shard an attempt may use, by their version. The default allows all.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct VersionFilter {
+    /// Version whose replicas are used if one of them has room.
+    pub preferred: Option<Arc<str>>,
+    /// Versions whose replicas are used only if they are preferred.
+    pub excluded: Option<Arc<BTreeSet<Arc<str>>>>,
+}
+
+impl VersionFilter {
+    /// Returns whether `replica` has the preferred version.
+    pub fn prefers(&self, replica: &Replica) -> bool {
+        self.preferred.as_ref() == Some(&replica.version)
+    }
+
+    /// Returns whether `replica` may be used without being preferred.
+    pub fn allows(&self, replica: &Replica) -> bool {
+        let excluded = self.excluded.as_ref();
+        excluded.is_none_or(|versions| !versions.contains(&replica.version))
+    }
+}
+
 /// Request rate that a cold upstream can handle, over all instances.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Pace {
@@ -412,6 +436,7 @@
                 address: record.address,
             },
             domain: Arc::from(record.domain.as_str()),
+            version: Arc::from(record.version.as_str()),
             distance: Distance::between(&self.own_domain, &record.domain, |d| self.regions.get(d)),
             snapshot: record.snapshot(),
             shards: record.shards.clone(),
--- a/crates/marigoldloom_routing/tests/choice.rs
+++ b/crates/marigoldloom_routing/tests/choice.rs
@@ -12,6 +12,7 @@
 
 fn replica() -> topology::Replica {
     topology::Replica {
+        version: Arc::from("v1"),
         target: upstream::Target {
             name: Arc::from("search-000-0"),
             address: SocketAddr::from(([127, 0, 0, 1], 10_000)),
