Play moves of versions and crashing requests in the soak

Each plan now has one move of a service (a good version, or one that fails at once, fails later or is slow) and one request that crashes the replicas that run it and comes again. A replica that is down refuses connections. Two checks hold what the replicas saw against the operators' bounds, summed over all instances.

--- a/crates/marigoldloom_soak/src/callers.rs
+++ b/crates/marigoldloom_soak/src/callers.rs
@@ -12,6 +12,7 @@
 use crate::balancer::Balancer;
 use crate::deployment::{Deployment, HOST, path_prefix};
 use crate::history::{Outcome, Request, RequestKind};
+use crate::replicas::CRASH_MARK;
 
 /// Time until the deadline of a query.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(1_200);
@@ -52,6 +53,8 @@
 /// A request before it is sent.
 struct Draft {
     id: Arc<str>,
+    /// Path after the prefix of the route.
+    path: Arc<str>,
     kind: RequestKind,
     /// When its caller cancels it. `None` if the caller waits for the answer.
     cancel_after: Option<Duration>,
@@ -82,6 +85,27 @@
         }
     }
 
+    /// Sends the same request, which crashes the replicas that run it, `count` times to instances in
+    /// turn.
+    pub(crate) async fn crash_replicas(&self, query: bool, count: u32, gap: Duration) {
+        let path: Arc<str> = Arc::from(format!("{}{query}", &CRASH_MARK[1..]));
+        for number in 0..count {
+            let draft = Draft {
+                id: Arc::from(format!("c{query}{number:04}")),
+                path: Arc::clone(&path),
+                kind: match query {
+                    true => RequestKind::Query,
+                    false => RequestKind::Fetch,
+                },
+                cancel_after: None,
+                reuse: false,
+                choice: usize::try_from(number).unwrap_or(0),
+            };
+            task::spawn(self.clone().send(draft));
+            task::sleep(gap).await;
+        }
+    }
+
     fn take_idle(&self) -> Option<IdleConnection> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         idle.pop_front()
@@ -152,7 +176,11 @@
         };
         let request = Request {
             kind: draft.kind,
-            line: format!("{method} {}{}?a=%20b&c", path_prefix(draft.kind), draft.id),
+            line: format!(
+                "{method} {}{}?a=%20b&c",
+                path_prefix(draft.kind),
+                draft.path
+            ),
             body,
             instance,
             process,
@@ -191,8 +219,10 @@
         _ => RequestKind::Version,
     };
     let cancels = kind != RequestKind::Job && rng.random_bool(CANCEL_SHARE);
+    let id: Arc<str> = Arc::from(format!("r{number:06}"));
     Draft {
-        id: Arc::from(format!("r{number:06}")),
+        path: Arc::clone(&id),
+        id,
         kind,
         cancel_after: cancels.then(|| Duration::from_millis(rng.random_range(CANCEL_AFTER_MS))),
         reuse: rng.random_bool(REUSE_SHARE),
--- a/crates/marigoldloom_soak/src/checks.rs
+++ b/crates/marigoldloom_soak/src/checks.rs
@@ -7,6 +7,7 @@
 use answers::check_answers;
 use configurations::{check_configurations, check_drains};
 use marigoldloom_standin::users::caller::Response;
+use versions::{check_crashing, check_versions};
 
 use crate::guarantees::{Guarantee, Violation};
 use crate::history::{Disruption, Execution, Observations, Outcome, Request, RequestKind, Scope};
@@ -14,6 +15,7 @@
 
 mod answers;
 mod configurations;
+mod versions;
 
 /// Time without a disruption after which an instance is held to its time limits: by then it has a
 /// working connection to the store. This limit and the ones below and in `configurations` are those
@@ -53,6 +55,8 @@
         check_drains,
         check_retry_budget,
         check_left_callers,
+        check_versions,
+        check_crashing,
         check_maintenance,
         check_recovery,
         check_exits,
--- a/crates/marigoldloom_soak/src/guarantees.rs
+++ b/crates/marigoldloom_soak/src/guarantees.rs
@@ -45,6 +45,12 @@
     /// budget, summed over all instances.
     #[display("extra attempts stay in their budget")]
     Budget,
+    /// A bad version gets a small part of its service's requests, and none soon after it shows.
+    #[display("bad versions get few requests")]
+    Exposure,
+    /// A request that has crashed three replicas reaches few others, over all instances.
+    #[display("requests that crash replicas stop")]
+    Crashing,
     /// No attempt is started for a caller that has disconnected.
     #[display("nothing is started for callers that left")]
     Left,
--- a/crates/marigoldloom_soak/src/history.rs
+++ b/crates/marigoldloom_soak/src/history.rs
@@ -132,6 +132,23 @@
     pub until: Option<Duration>,
 }
 
+/// A move of a service to a new version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct VersionMove {
+    /// The service.
+    pub service: String,
+    /// When the operator ordered it.
+    pub from: Duration,
+    /// Time in which it must be complete.
+    pub window: Duration,
+    /// Indexes of the replicas of the new version.
+    pub replicas: Vec<usize>,
+    /// When the new version became bad; `None` if it is good so far.
+    pub bad_from: Option<Duration>,
+    /// State in the status after the window; `None` before.
+    pub state: Option<String>,
+}
+
 /// Everything observed so far. Times count from the start of the history.
 #[derive(Clone, Debug, Default)]
 pub struct Observations {
@@ -143,6 +160,8 @@
     pub configurations: Vec<Configuration>,
     /// Drains of replicas and failure domains.
     pub drains: Vec<Drain>,
+    /// Moves of services to new versions.
+    pub moves: Vec<VersionMove>,
     /// Faults and planned stops.
     pub disruptions: Vec<Disruption>,
     /// Unexpected exits of processes: index of the instance, time, and exit status.
@@ -212,6 +231,21 @@
         observations.drains.len() - 1
     }
 
+    /// Records the order of a move. Returns its index in the observations.
+    pub fn begin_move(&self, service: &str, window: Duration) -> usize {
+        let from = self.now();
+        let mut observations = self.observations();
+        observations.moves.push(VersionMove {
+            service: service.to_owned(),
+            from,
+            window,
+            replicas: Vec::new(),
+            bad_from: None,
+            state: None,
+        });
+        observations.moves.len() - 1
+    }
+
     /// Records the end of the drain with this index.
     pub fn end_drain(&self, drain: usize) {
         let now = self.now();
--- a/crates/marigoldloom_soak/src/plan.rs
+++ b/crates/marigoldloom_soak/src/plan.rs
@@ -41,6 +41,9 @@
 /// requests from 5 s on.
 const EVACUATION_MS: u64 = 8_000;
 
+/// Distinguishes the generator of moves and crashing requests from that of the other steps.
+const INCIDENT_SEED: u64 = 0x5eed_cafe;
+
 /// What a plan is drawn for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Sizes {
@@ -81,6 +84,34 @@
     Away,
 }
 
+/// How a new version differs from the old one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum VersionFault {
+    /// It doesn't.
+    None,
+    /// All requests fail.
+    Fails,
+    /// All requests fail from half of the move's window on.
+    FailsLater,
+    /// All replies are slow.
+    Slow,
+}
+
+impl VersionFault {
+    const ALL: [Self; 4] = [Self::None, Self::Fails, Self::FailsLater, Self::Slow];
+
+    /// How its replicas behave while it is bad; `None` if it is good.
+    pub const fn behaviour(self) -> Option<Behaviour> {
+        match self {
+            Self::None => None,
+            Self::Fails | Self::FailsLater => Some(Behaviour::Failing),
+            Self::Slow => Some(Behaviour::Slow),
+        }
+    }
+}
+
 /// A fault or a planned operation. Instances, replicas and failure domains are given by index.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize)]
@@ -152,6 +183,24 @@
         /// Duration in milliseconds.
         time_ms: u64,
     },
+    /// Traffic of a service moves to a new version.
+    Move {
+        /// Whether the service is a shard instead of the one of the fetch route.
+        shard: bool,
+        /// How the new version differs.
+        fault: VersionFault,
+        /// Seconds in which the move must be complete.
+        window_s: u64,
+    },
+    /// A caller sends a request that crashes the replicas that run it, again and again.
+    CrashReplicas {
+        /// Whether it goes to all shards instead of one replica.
+        query: bool,
+        /// Number of times that it is sent.
+        count: u32,
+        /// Milliseconds between two of them.
+        gap_ms: u64,
+    },
     /// New configurations are written to the store.
     Configure {
         /// Number of configurations.
@@ -195,6 +244,7 @@
         step: draw_step(&mut rng, sizes),
     });
     let mut fault_steps: Vec<_> = fault_steps.collect();
+    fault_steps.extend(draw_incidents(seed, last));
     fault_steps.sort_by_key(|s| s.at_ms);
     let maintenance_steps = draw_maintenance(&mut rng, sizes);
     Plan {
@@ -203,6 +253,27 @@
     }
 }
 
+/// Draws moves of versions and crashing requests, with a generator of their own, so that the other
+/// steps of a seed stay the same.
+fn draw_incidents(seed: u64, last: u64) -> impl Iterator<Item = TimedStep> {
+    let mut rng = StdRng::seed_from_u64(seed ^ INCIDENT_SEED);
+    let moved = Step::Move {
+        shard: rng.random(),
+        fault: VersionFault::ALL[rng.random_range(0..VersionFault::ALL.len())],
+        window_s: rng.random_range(8..14),
+    };
+    let crash = Step::CrashReplicas {
+        query: rng.random(),
+        count: rng.random_range(12..20),
+        gap_ms: rng.random_range(300..900),
+    };
+    let mut timed = |step| TimedStep {
+        at_ms: rng.random_range(0..last / 2),
+        step,
+    };
+    [timed(moved), timed(crash)].into_iter()
+}
+
 fn draw_time_ms(rng: &mut impl Rng) -> u64 {
     rng.random_range(FAULT_TIME_MS)
 }
--- a/crates/marigoldloom_soak/src/proxy.rs
+++ b/crates/marigoldloom_soak/src/proxy.rs
@@ -57,6 +57,8 @@
     last_muted: u64,
     /// Connections accepted so far; the number of the latest one.
     accepted: u64,
+    /// Channel that is closed to stop listening; `None` while the proxy doesn't listen.
+    listening: Option<Sender<()>>,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -73,24 +75,57 @@
     /// Returns an I/O error if no port can be bound.
     pub async fn start(target: SocketAddr) -> io::Result<Self> {
         let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0))?;
+        let address = listener.get_ref().local_addr()?;
         let state = State {
             target,
             condition: Condition::default(),
             reset: async_channel::bounded(1),
             last_muted: 0,
             accepted: 0,
+            listening: None,
         };
         let proxy = Self {
-            address: listener.get_ref().local_addr()?,
+            address,
             state: Arc::new(Mutex::new(state)),
         };
-        let acceptor = proxy.clone();
+        proxy.listen(listener);
+        Ok(proxy)
+    }
+
+    fn listen(&self, listener: Async<TcpListener>) {
+        let (listening, stopped) = async_channel::bounded::<()>(1);
+        self.lock_state().listening = Some(listening);
+        let acceptor = self.clone();
         task::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                task::spawn(acceptor.clone().forward(stream));
-            }
+            let accept = async {
+                while let Ok((stream, _)) = listener.accept().await {
+                    task::spawn(acceptor.clone().forward(stream));
+                }
+            };
+            let stopped = pin::pin!(stopped.recv());
+            future::select(pin::pin!(accept), stopped).await;
         });
-        Ok(proxy)
+    }
+
+    /// Stops listening, so that new connections are refused, and resets all open ones.
+    pub fn close(&self) {
+        let listening = self.lock_state().listening.take();
+        listening.inspect(|sender| {
+            sender.close();
+        });
+        self.reset();
+    }
+
+    /// Listens again after [`Self::close`].
+    ///
+    /// # Errors
+    ///
+    /// Returns an I/O error if the address can't be bound.
+    pub fn reopen(&self) -> io::Result<()> {
+        if self.lock_state().listening.is_none() {
+            self.listen(Async::<TcpListener>::bind(self.address)?);
+        }
+        Ok(())
     }
 
     /// Address on which the proxy listens.
--- a/crates/marigoldloom_soak/src/replicas.rs
+++ b/crates/marigoldloom_soak/src/replicas.rs
@@ -2,12 +2,13 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use async_std::task;
-use marigoldloom_standin::users::documents::{self, REPLICAS};
-use marigoldloom_standin::users::replica::{ReceivedRequest, Replica};
+use marigoldloom_standin::users::documents::{self, REPLICAS, ROLLOUTS, VERSION};
+use marigoldloom_standin::users::replica::{ReceivedRequest, Replica, ScriptedResponse};
 use marigoldloom_standin::users::server::{self, Behaviour, Identity};
 use marigoldloom_standin::users::store::Store;
 
@@ -15,6 +16,7 @@
     DOMAINS, FETCH_SERVICE, JOB_SERVICE, SHARD_SETS, VERSION_SERVICES, shards, version_service,
 };
 use crate::history::{DrainTarget, Execution, History, Scope};
+use crate::plan::VersionFault;
 use crate::proxy::Proxy;
 
 /// Number of replicas of the fetch service and of the job service.
@@ -36,6 +38,18 @@
 /// Time from the stop of a replica to the reuse of its address, as the operators state it.
 const ADDRESS_REUSE_DELAY: Duration = Duration::from_secs(2);
 
+/// Mark in the path of requests that crash the replicas that run them.
+pub const CRASH_MARK: &str = "/crash-";
+
+/// Time from such a crash to the restart.
+const CRASH_TIME: Duration = Duration::from_millis(1_500);
+
+/// Version to which services are moved.
+const NEW_VERSION: &str = "v2";
+
+/// Time after the end of a move's window until its status is read.
+const STATUS_TIME: Duration = Duration::from_secs(2);
+
 /// A replica's address and the processes that run behind it, one after the other.
 pub struct Endpoint {
     /// Index of the replica.
@@ -44,6 +58,8 @@
     domain: usize,
     /// Proxy in front of the process. Its address is the announced one.
     pub proxy: Proxy,
+    /// Version of its software.
+    version: String,
     state: Mutex<State>,
     behaviour: Arc<Mutex<Behaviour>>,
 }
@@ -110,7 +126,7 @@
             endpoints: Arc::default(),
         };
         for (service, shard, domain) in initial_replicas() {
-            replicas.add(service, shard, domain, None).await?;
+            replicas.add(service, shard, domain, VERSION, None).await?;
         }
         Ok(replicas)
     }
@@ -126,14 +142,15 @@
         Arc::clone(&self.lock_endpoints()[number])
     }
 
-    /// Adds a replica behind `proxy`, or behind a new proxy if there is none.
+    /// Adds a replica behind `proxy`, or behind a new proxy if there is none. Returns its index.
     async fn add(
         &self,
         service: String,
         shard: bool,
         domain: usize,
+        version: &str,
         proxy: Option<Proxy>,
-    ) -> io::Result<()> {
+    ) -> io::Result<usize> {
         let proxy = match proxy {
             Some(proxy) => proxy,
             None => Proxy::start(unused_address()).await?,
@@ -148,6 +165,7 @@
             number,
             domain,
             proxy,
+            version: version.to_owned(),
             state: Mutex::new(State {
                 identity,
                 replica: None,
@@ -158,7 +176,8 @@
         });
         self.lock_endpoints().push(Arc::clone(&endpoint));
         self.history.observations().domains.push(domain);
-        self.start_process(&endpoint).await
+        self.start_process(&endpoint).await?;
+        Ok(number)
     }
 
     /// Starts a process behind an endpoint and announces it under a new id.
@@ -171,6 +190,7 @@
         };
         let (history, number) = (self.history.clone(), endpoint.number);
         let (replica_identity, behaviour) = (identity.clone(), Arc::clone(&endpoint.behaviour));
+        let replicas = self.clone();
         let respond = move |request: &ReceivedRequest| {
             let behaviour = *behaviour.lock().unwrap_or_else(PoisonError::into_inner);
             let (run_status, response) =
@@ -184,10 +204,17 @@
                     request,
                 ));
             }
-            response
+            match run_status {
+                server::RunStatus::Run if crashes(request) => {
+                    replicas.spawn_crash(number);
+                    ScriptedResponse::crash()
+                }
+                _ => response,
+            }
         };
         let replica = Replica::start(respond).await?;
         endpoint.proxy.set_target(replica.address());
+        endpoint.proxy.reopen()?;
         endpoint.lock_state().replica = Some(replica);
         let announcement = self.announcement(endpoint, &identity);
         self.store.put(REPLICAS, &identity.id, announcement);
@@ -195,8 +222,9 @@
     }
 
     fn announcement(&self, endpoint: &Endpoint, identity: &Identity) -> serde_json::Value {
-        let domain = DOMAINS[endpoint.domain];
-        documents::announcement(&identity.service, domain, endpoint.proxy.address(), SLOTS)
+        let (domain, address) = (DOMAINS[endpoint.domain], endpoint.proxy.address());
+        let announcement = documents::announcement(&identity.service, domain, address, SLOTS);
+        documents::with_version(announcement, &endpoint.version)
     }
 
     /// Ends the process behind an endpoint. Returns its id, or `None` if no process ran.
@@ -206,7 +234,7 @@
         // Another run on this machine may soon get the port of the process.
         endpoint.proxy.set_target(unused_address());
         replica.crash();
-        endpoint.proxy.reset();
+        endpoint.proxy.close();
         Some(state.identity.id.clone())
     }
 
@@ -227,6 +255,79 @@
         Ok(())
     }
 
+    /// Crashes a replica that runs a request which crashes replicas.
+    fn spawn_crash(&self, number: usize) {
+        let replicas = self.clone();
+        let crash = async move {
+            // A replica that can't be started again stays down, as after a crash for good.
+            let _ = replicas.crash(number, CRASH_TIME).await;
+        };
+        // Boxed, because a crash starts a process that may crash.
+        let crash: Pin<Box<dyn Future<Output = ()> + Send>> = Box::pin(crash);
+        task::spawn(crash);
+    }
+
+    /// Orders a move of `service` to a new version and starts its replicas. At the end stops those
+    /// of the version that isn't in use any more.
+    pub(crate) async fn move_version(
+        &self,
+        service: &str,
+        fault: VersionFault,
+        window: Duration,
+    ) -> io::Result<()> {
+        let old: Vec<_> = self
+            .lock_endpoints()
+            .iter()
+            .filter(|e| e.lock_state().identity.service == service)
+            .cloned()
+            .collect();
+        let shard = old.iter().any(|e| e.lock_state().identity.shard);
+        self.store.put(
+            ROLLOUTS,
+            service,
+            documents::rollout(service, NEW_VERSION, window.as_secs()),
+        );
+        let index = self.history.begin_move(service, window);
+        let mut new = Vec::new();
+        for domain in 0..DOMAINS.len() {
+            let added = self.add(service.to_owned(), shard, domain, NEW_VERSION, None);
+            new.push(self.get(added.await?));
+        }
+        let numbers = new.iter().map(|e| e.number).collect();
+        self.history.observations().moves[index].replicas = numbers;
+        let sound_time = match fault {
+            VersionFault::FailsLater => window / 2,
+            _ => Duration::ZERO,
+        };
+        task::sleep(sound_time).await;
+        if let Some(behaviour) = fault.behaviour() {
+            self.history.observations().moves[index].bad_from = Some(self.history.now());
+            new.iter().for_each(|e| e.set_behaviour(behaviour));
+        }
+        task::sleep(window.saturating_sub(sound_time) + STATUS_TIME).await;
+        let state = self.store.status(ROLLOUTS, service)["State"].clone();
+        let completed = state == "completed";
+        self.history.observations().moves[index].state = Some(state.to_string());
+        new.iter().for_each(|e| e.set_behaviour(Behaviour::Sound));
+        let leaving = if completed { old } else { new };
+        for endpoint in &leaving {
+            endpoint.lock_state().leaving = true;
+            let identity = endpoint.lock_state().identity.clone();
+            let draining = documents::draining(self.announcement(endpoint, &identity));
+            if !completed {
+                self.store.put(REPLICAS, &identity.id, draining);
+            }
+        }
+        if !completed {
+            task::sleep(DRAIN_TIME).await;
+        }
+        for endpoint in &leaving {
+            let stopped = self.stop_process(endpoint);
+            stopped.inspect(|id| self.store.remove(REPLICAS, id));
+        }
+        Ok(())
+    }
+
     /// Makes a replica misbehave for `time`.
     pub(crate) async fn misbehave(&self, number: usize, behaviour: Behaviour, time: Duration) {
         let endpoint = self.get(number);
@@ -253,6 +354,7 @@
             identity.service.clone(),
             identity.shard,
             endpoint.domain,
+            &endpoint.version,
             None,
         )
         .await?;
@@ -268,12 +370,19 @@
             FETCH_SERVICE.to_owned(),
             false,
             endpoint.domain,
+            VERSION,
             Some(proxy),
         )
-        .await
+        .await?;
+        Ok(())
     }
 }
 
+/// Whether a request crashes the replica that runs it.
+fn crashes(request: &ReceivedRequest) -> bool {
+    request.line().contains(CRASH_MARK)
+}
+
 /// Processing time of a request, derived from its id.
 fn work_time(request: &ReceivedRequest) -> Duration {
     let id = request.id().unwrap_or_default();
--- a/crates/marigoldloom_soak/src/run.rs
+++ b/crates/marigoldloom_soak/src/run.rs
@@ -143,15 +143,15 @@
     let callers = Callers::new(Arc::clone(&deployment), balancer.clone());
     let background = [
         task::spawn(balancer.probe(Arc::clone(&deployment))),
-        task::spawn(callers.run(seed, settings.rate)),
+        task::spawn(callers.clone().run(seed, settings.rate)),
     ];
     let restarts = task::spawn(steps::restart_exited(Arc::clone(&deployment)));
     let steps = async {
-        steps::execute(&deployment, plan.fault_steps).await?;
+        steps::execute(&deployment, &callers, plan.fault_steps).await?;
         task::sleep(SETTLE_TIME).await;
         let now = deployment.history.now();
         deployment.history.observations().maintenance_start = Some(now);
-        steps::execute(&deployment, plan.maintenance_steps).await?;
+        steps::execute(&deployment, &callers, plan.maintenance_steps).await?;
         task::sleep(LATE_EXECUTION_WAIT).await;
         Ok::<_, io::Error>(())
     };
--- a/crates/marigoldloom_soak/src/steps.rs
+++ b/crates/marigoldloom_soak/src/steps.rs
@@ -12,7 +12,8 @@
 use serde_json::json;
 
 use crate::balancer;
-use crate::deployment::{DOMAINS, Deployment, GRACE_S};
+use crate::callers::Callers;
+use crate::deployment::{DOMAINS, Deployment, FETCH_SERVICE, GRACE_S, shards};
 use crate::history::{DrainTarget, Scope};
 use crate::plan::{Link, Outage, Step, TimedStep};
 use crate::process::Instance;
@@ -32,18 +33,22 @@
 /// # Errors
 ///
 /// Returns an I/O error if a process can't be signalled or a process or replica can't be started.
-pub async fn execute(deployment: &Deployment, steps: Vec<TimedStep>) -> io::Result<()> {
+pub async fn execute(
+    deployment: &Deployment,
+    callers: &Callers,
+    steps: Vec<TimedStep>,
+) -> io::Result<()> {
     let steps = steps
         .into_iter()
         .map(|TimedStep { at_ms, step }| async move {
             task::sleep(Duration::from_millis(at_ms)).await;
-            execute_step(deployment, step).await
+            execute_step(deployment, callers, step).await
         });
     future::try_join_all(steps).await?;
     Ok(())
 }
 
-async fn execute_step(deployment: &Deployment, step: Step) -> io::Result<()> {
+async fn execute_step(deployment: &Deployment, callers: &Callers, step: Step) -> io::Result<()> {
     match step {
         Step::Kill { instances, down_ms } => {
             let down = Duration::from_millis(down_ms);
@@ -99,6 +104,28 @@
             future::join_all(faults).await;
             Ok(())
         }
+        Step::Move {
+            shard,
+            fault,
+            window_s,
+        } => {
+            let service = match shard {
+                true => shards(0).swap_remove(0),
+                false => FETCH_SERVICE.to_owned(),
+            };
+            let window = Duration::from_secs(window_s);
+            let replicas = &deployment.replicas;
+            replicas.move_version(&service, fault, window).await
+        }
+        Step::CrashReplicas {
+            query,
+            count,
+            gap_ms,
+        } => {
+            let gap = Duration::from_millis(gap_ms);
+            callers.crash_replicas(query, count, gap).await;
+            Ok(())
+        }
         Step::Leave(replica) => deployment.replicas.replace(replica).await,
         Step::Evacuate { domain, time_ms } => {
             evacuate_domain(deployment, domain, time_ms).await;
--- a/crates/marigoldloom_soak/tests/checks.rs
+++ b/crates/marigoldloom_soak/tests/checks.rs
@@ -9,7 +9,7 @@
 use marigoldloom_soak::guarantees::Guarantee;
 use marigoldloom_soak::history::{
     Configuration, Disruption, Drain, DrainTarget, Execution, Observations, Outcome, Request,
-    RequestKind, Scope,
+    RequestKind, Scope, VersionMove,
 };
 use marigoldloom_standin::users::caller::Response;
 use marigoldloom_standin::users::server::{self, Identity};
@@ -189,6 +189,46 @@
     }
 }
 
+/// Adds requests of the fetch route at `sent_at`, all executed by [`REPLICA`].
+fn add_fetches(observations: &mut Observations, prefix: &str, count: u32, sent_at: u64) {
+    for number in 0..count {
+        let id = format!("{prefix}{number}");
+        let service = deployment::FETCH_SERVICE;
+        add_request(observations, RequestKind::Fetch, &id, sent_at, service);
+    }
+}
+
+/// Adds a bad version that runs on [`REPLICA`] and gets `count` requests in its window.
+fn add_moved(observations: &mut Observations, count: u32) {
+    add_fetches(observations, "moved", count, 21_000);
+    observations.moves.push(VersionMove {
+        service: deployment::FETCH_SERVICE.to_owned(),
+        from: ms(20_500),
+        window: ms(2_000),
+        replicas: vec![REPLICA],
+        bad_from: Some(ms(20_500)),
+        state: Some("reverted".to_owned()),
+    });
+}
+
+/// Adds executions of one request that crashes replicas.
+fn add_crashes(observations: &mut Observations, count: u32, sent_at: u64) {
+    let prefix = format!("crash{sent_at}-");
+    add_fetches(observations, &prefix, count, sent_at);
+    let line = "GET /fetch/crash-1";
+    for request in observations.requests.iter_mut() {
+        if request.0.starts_with("crash") {
+            line.clone_into(&mut request.1.line);
+            request.1.end = None;
+        }
+    }
+    for execution in &mut observations.executions {
+        if execution.id.starts_with("crash") {
+            line.clone_into(&mut execution.line);
+        }
+    }
+}
+
 fn set_end(observations: &mut Observations, id: &str, at: u64, outcome: Outcome) {
     observations.requests.get_mut(id).unwrap().end = Some((ms(at), outcome));
 }
@@ -363,6 +403,26 @@
                 }
             },
         ),
+        case("bad version gets too much", Guarantee::Exposure, |o| {
+            add_moved(o, 30);
+        }),
+        case(
+            "bad version gets requests after it showed",
+            Guarantee::Exposure,
+            |o| {
+                add_moved(o, 300);
+                o.moves[0].state = None;
+                add_fetches(o, "late", 1, 30_000);
+            },
+        ),
+        case(
+            "crashing request reaches more replicas",
+            Guarantee::Crashing,
+            |o| {
+                add_crashes(o, 3, 20_000);
+                add_crashes(o, 4, 24_500);
+            },
+        ),
         case("instance exits unexpectedly", Guarantee::Alive, |o| {
             o.unexpected_exits
                 .push((0, ms(1_000), "exit status: 1".to_owned()));
