--- a/crates/marigoldloom_standin/src/users/store.rs
+++ b/crates/marigoldloom_standin/src/users/store.rs
@@ -42,6 +42,8 @@
     objects: BTreeMap<(String, String), Value>,
     /// Maps an address to the one that readers get in its place.
     redirects: BTreeMap<String, String>,
+    /// Text that stands in responses in place of a string, for JSON that `Value` can't hold.
+    raw: BTreeMap<String, String>,
     events: Vec<Event>,
     /// A watch since an earlier revision than this gets status 410.
     compacted: u64,
@@ -95,6 +97,13 @@
         state.record(kind, false, object);
     }
 
+    /// Creates or replaces an object whose content is the JSON `text`, which needs no validity.
+    pub fn put_raw(&self, kind: &str, name: &str, text: &str) {
+        let mark = format!("raw-{name}");
+        self.state().raw.insert(mark.clone(), text.to_owned());
+        self.put(kind, name, Value::String(mark));
+    }
+
     /// Removes an object.
     pub fn remove(&self, kind: &str, name: &str) {
         let mut state = self.state();
@@ -218,7 +227,15 @@
         let more = items.len() > PAGE_SIZE;
         items.truncate(PAGE_SIZE);
         let body = json!({"items": items, "HasMore": more, "AsOf": self.revision});
-        Response::json_body(StatusCode::Ok, &body)
+        self.respond(&body)
+    }
+
+    fn respond(&self, body: &Value) -> Response {
+        let mut text = body.to_string();
+        for (mark, raw) in &self.raw {
+            text = text.replace(&format!("\"{mark}\""), raw);
+        }
+        Response::new(StatusCode::Ok).with_body(text)
     }
 
     /// Returns an object as readers get it, with redirected addresses.
@@ -251,7 +268,7 @@
             .collect();
         (due || !events.is_empty()).then(|| {
             let body = json!({"events": events, "AsOf": self.revision});
-            Response::json_body(StatusCode::Ok, &body)
+            self.respond(&body)
         })
     }
 }
