Mend two tests that failed for a fault of their own

unsent_subqueries_are_known_not_to_have_run gave its second subquery a later deadline than the first, so that it could get the first one's connection and be sent.

platform_outage_stops_only_bookings booked right after SIGSTOP, which stops a process's threads later. It now waits until the kernel reports the stop. Nothing else in it changed.

--- a/crates/marigoldloom_daemon/tests/processes.rs
+++ b/crates/marigoldloom_daemon/tests/processes.rs
@@ -180,7 +180,7 @@
     let since = load.results().len();
     let booked = book(&fleet, "before", true);
     assert_eq!(booked.status, 200, "{booked:?}");
-    fleet.platform.signal(Signal::STOP);
+    fleet.platform.pause();
     check_outage(&fleet, "stopped");
     fleet.platform.signal(Signal::CONT);
     wait_for("a booking after the outage", || {
--- a/crates/marigoldloom_daemon/tests/support/process.rs
+++ b/crates/marigoldloom_daemon/tests/support/process.rs
@@ -64,6 +64,19 @@
             .unwrap_or_else(|e| panic!("{} can't be signalled: {e}", self.name));
     }
 
+    /// Suspends the process and waits until all its threads have stopped.
+    pub(crate) fn pause(&self) {
+        self.signal(Signal::STOP);
+        let pid = Pid::from_child(&self.child);
+        let status = process::waitpid(Some(pid), process::WaitOptions::UNTRACED)
+            .unwrap_or_else(|e| panic!("{} can't be waited for: {e}", self.name));
+        assert!(
+            status.is_some_and(|(_, status)| status.stopped()),
+            "{} ended instead of stopping",
+            self.name
+        );
+    }
+
     /// Kills the process and waits for its end.
     pub(crate) fn kill(&mut self) {
         self.child.kill().expect("a child can be killed");
--- a/crates/marigoldloom_upstream/tests/client.rs
+++ b/crates/marigoldloom_upstream/tests/client.rs
@@ -315,9 +315,17 @@
             ..client::Settings::default()
         };
         let mut fixture = Fixture::new(settings).await;
-        let waiting =
-            combinators::join(fixture.send(1, "sleep 5000"), fixture.send(2, "sleep 5000"));
-        let (first, second) = waiting.await;
+        // With a later deadline than the first, the second would get the first one's connection.
+        let deadline = fixture.rt.now() + DEADLINE;
+        let subqueries = [1, 2].map(|id| message::Subquery {
+            deadline,
+            ..fixture.subquery(id, "sleep 5000")
+        });
+        let sent = subqueries
+            .iter()
+            .map(|subquery| fixture.client.send(&fixture.target, subquery));
+        let results = combinators::join_all(sent).await;
+        let (first, second) = (results[0].clone(), results[1].clone());
         assert_eq!(first, Err(Error::TimedOut));
         let refusal = Refusal::Expired;
         let expired = Err(Error::Refused {
