Check the bound of a move in sum, and read saved strikes when peers are lost

- Instances that don't send evaluate the evidence only at the end of the window.
- An instance that can't reach another one reads the saved strikes again: across a partition nothing else tells it of them.

--- a/crates/marigoldloom_front/src/exchange.rs
+++ b/crates/marigoldloom_front/src/exchange.rs
@@ -78,6 +78,8 @@
     accepted: (async_channel::Sender<Entry>, async_channel::Receiver<Entry>),
     published: event_listener::Event,
     members_changed: event_listener::Event,
+    /// Notified when a pull got no response.
+    unreachable: event_listener::Event,
 }
 
 /// This instance's copy of the shared map. Clones share it.
@@ -108,6 +110,7 @@
                 accepted: async_channel::unbounded(),
                 published: event_listener::Event::new(),
                 members_changed: event_listener::Event::new(),
+                unreachable: event_listener::Event::new(),
             }),
         }
     }
@@ -272,7 +275,14 @@
             hashes,
             ..Message::default()
         };
-        self.send(peer, &message).await;
+        if !self.send(peer, &message).await {
+            self.inner.unreachable.notify(usize::MAX);
+        }
+    }
+
+    /// Completes once a pull gets no response: entries of other instances may be missing here.
+    pub(crate) async fn until_unreachable(&self) {
+        self.inner.unreachable.listen().await;
     }
 
     /// Sends a message and merges the entries of the response. Returns whether one arrived.
--- a/crates/marigoldloom_front/src/instance.rs
+++ b/crates/marigoldloom_front/src/instance.rs
@@ -148,7 +148,8 @@
     };
     let engine = Engine::new(rt, client.clone(), hooks, engine_settings(&settings));
     rt.spawn(share_strikes(exchange.clone(), engine.clone()));
-    rt.spawn(strikes::save(rt, source.clone(), exchange.clone(), queue));
+    rt.spawn(strikes::save(rt, source.clone(), queue));
+    rt.spawn(strikes::restore(rt, source.clone(), exchange.clone()));
     let own = member(&settings);
     let homes = Homes::new(rt, own.candidate.clone(), settings.place.clone());
     let sharing = Arc::new(Sharing {
--- a/crates/marigoldloom_front/src/strikes.rs
+++ b/crates/marigoldloom_front/src/strikes.rs
@@ -21,6 +21,9 @@
 const RETRY_BASE: Duration = Duration::from_millis(500);
 const RETRY_CAP: Duration = Duration::from_secs(5);
 
+/// Shortest time between two reads of the saved strikes.
+const RESTORE_PAUSE: Duration = Duration::from_secs(1);
+
 /// Number of refused requests whose strikes may wait to be saved.
 pub(crate) const SAVE_QUEUE: usize = 64;
 
@@ -52,15 +55,23 @@
     (change.total >= fingerprint::STRIKE_LIMIT).then(|| entry(change.fingerprint, strikes, SAVED))
 }
 
-/// Reads the saved strikes into `exchange` and removes expired ones, then saves the entries of
-/// `queue`. Runs until the queue is closed.
+/// Reads the saved strikes into `exchange` at the start, and again whenever another instance can't be
+/// reached: the instances on the other side of a partition can't send theirs. Runs until it is
+/// dropped.
+pub(crate) async fn restore<R: Runtime, S: Source>(rt: R, source: S, exchange: PeerExchange<R>) {
+    loop {
+        restore_once(&rt, &source, &exchange).await;
+        exchange.until_unreachable().await;
+        rt.sleep(RESTORE_PAUSE).await;
+    }
+}
+
+/// Saves the entries of `queue`. Runs until the queue is closed.
 pub(crate) async fn save<R: Runtime, S: Source>(
     rt: R,
     source: S,
-    exchange: PeerExchange<R>,
     queue: async_channel::Receiver<Entry>,
 ) {
-    restore(&rt, &source, &exchange).await;
     while let Ok(entry) = queue.recv().await {
         let Ok(content) = serde_json::to_string(&entry) else {
             continue;
@@ -76,7 +87,7 @@
     }
 }
 
-async fn restore<R: Runtime>(rt: &R, source: &impl Source, exchange: &PeerExchange<R>) {
+async fn restore_once<R: Runtime>(rt: &R, source: &impl Source, exchange: &PeerExchange<R>) {
     let mut attempt = 0;
     let saved = loop {
         match source.saved_entries().await {
@@ -88,10 +99,7 @@
         let entry = serde_json::from_str::<Entry>(&content).ok();
         let live = |e: &Entry| e.expires.is_some_and(|at| at > rt.wall());
         match entry.filter(live) {
-            Some(entry) => {
-                tracing::info!(%name, "strikes restored from the platform");
-                exchange.restore(&entry);
-            }
+            Some(entry) => exchange.restore(&entry),
             None => {
                 let removed = source.remove_entry(&name).await;
                 tracing::info!(%name, ok = removed.is_ok(), "expired strikes removed");
--- a/crates/marigoldloom_moves/src/window.rs
+++ b/crates/marigoldloom_moves/src/window.rs
@@ -101,6 +101,8 @@
     /// order for longer.
     start: Timestamp,
     progress: Progress,
+    /// Evidence of all instances at the last evaluation.
+    merged: MergedReports,
     /// Final phase, once it is decided.
     decided: Option<Phase>,
     /// Whether all requests go to the new version.
@@ -273,16 +275,18 @@
             ..
         } = &*self.inner;
         let name = Arc::clone(&active.order.name);
-        let writer = format!("{name}/{writer}");
-        let mut merged = status::merged_evidence(exchange, &name);
-        merged.add(&writer, own);
-        active.adjust_start(now, merged.elapsed());
-        let elapsed = now.since(active.start);
-        if evaluate {
+        // An instance that doesn't send needs the evidence only to decide at the end.
+        if evaluate && (!own.routes.is_empty() || active.is_over(now)) {
+            let writer = format!("{name}/{writer}");
+            let mut merged = status::merged_evidence(exchange, &name);
+            merged.add(&writer, own);
+            active.adjust_start(now, merged.elapsed());
             active.progress.add_evidence(&merged);
-            own.elapsed_ms = time::millis(elapsed);
+            active.merged = merged;
+            own.elapsed_ms = time::millis(now.since(active.start));
             self.publish(active, &writer, own, now);
         }
+        let elapsed = now.since(active.start);
         let reason = match &active.progress.alarm {
             Some(alarm) => Some(alarm.to_string()),
             None if elapsed >= active.window() && !active.switched => {
@@ -294,7 +298,7 @@
             status::take_back(exchange, rt.wall(), &name, &reason);
         }
         let verdict = status::verdict(exchange, rt.wall(), &name);
-        active.decide(verdict.as_ref(), &merged, elapsed);
+        active.decide(verdict.as_ref(), elapsed);
     }
 
     /// Publishes this instance's evidence at once if it shows new bad replies of the new version,
@@ -307,6 +311,9 @@
         if !due && bad == active.published_bad {
             return;
         }
+        if own.routes.is_empty() {
+            return;
+        }
         active.published_at = Some(now);
         active.published_bad = bad;
         let wall = self.inner.rt.wall();
@@ -409,6 +416,7 @@
             order,
             start: now,
             progress: Progress::default(),
+            merged: MergedReports::default(),
             decided: None,
             switched: false,
             published_at: None,
@@ -442,12 +450,7 @@
     }
 
     /// Decides at the end of the window, or when another instance has decided.
-    fn decide(
-        &mut self,
-        verdict: Option<&status::Verdict>,
-        merged: &MergedReports,
-        elapsed: Duration,
-    ) {
+    fn decide(&mut self, verdict: Option<&status::Verdict>, elapsed: Duration) {
         if let Some(verdict) = verdict {
             self.decided = Some(Phase::TakenBack);
             tracing::warn!(
@@ -455,20 +458,20 @@
                 version = %self.order.version,
                 elapsed_ms = time::millis(elapsed),
                 reason = verdict.reason,
-                evidence = ?merged.summary(),
+                evidence = ?self.merged.summary(),
                 "version move taken back"
             );
             return;
         }
         let accepted =
-            !self.progress.suspect && new_requests(merged) >= share::MIN_EVIDENCE_REQUESTS;
+            !self.progress.suspect && new_requests(&self.merged) >= share::MIN_EVIDENCE_REQUESTS;
         if !self.switched && accepted && elapsed + SWITCH_MARGIN >= self.window() {
             self.switched = true;
             tracing::info!(
                 service = %self.order.service,
                 version = %self.order.version,
                 elapsed_ms = time::millis(elapsed),
-                evidence = ?merged.summary(),
+                evidence = ?self.merged.summary(),
                 "all requests go to the new version"
             );
         }
--- a/crates/marigoldloom_soak/src/proxy.rs
+++ b/crates/marigoldloom_soak/src/proxy.rs
@@ -1,8 +1,9 @@
 //! A loopback TCP proxy that delays, holds or resets the connections between two processes.
 
 use std::io;
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::pin;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -68,13 +69,13 @@
 }
 
 impl Proxy {
-    /// Starts a proxy for `target` on a free port of the loopback interface.
+    /// Starts a proxy for `target` on a free port of a loopback address of its own.
     ///
     /// # Errors
     ///
     /// Returns an I/O error if no port can be bound.
     pub async fn start(target: SocketAddr) -> io::Result<Self> {
-        let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0))?;
+        let listener = Async::<TcpListener>::bind((unused_ip(), 0))?;
         let address = listener.get_ref().local_addr()?;
         let state = State {
             target,
@@ -232,6 +233,16 @@
     }
 }
 
+/// Loopback address for the next proxy. No connection has it as its own address, which could take the
+/// port while the proxy is closed.
+fn unused_ip() -> Ipv4Addr {
+    static COUNT: AtomicU32 = AtomicU32::new(0);
+    let run = std::process::id();
+    let part = |value: u32| u8::try_from(value % 250 + 1).unwrap_or(1);
+    let number = COUNT.fetch_add(1, Ordering::Relaxed);
+    Ipv4Addr::new(127, part(run / 250 % 100 + 100), part(run), part(number))
+}
+
 /// Makes the connection end with a reset when it is dropped.
 fn reset_on_drop(stream: &Async<TcpStream>) {
     // Fails if the connection has already ended, which needs no reset.
