--- a/crates/marigoldloom_moves/src/window.rs
+++ b/crates/marigoldloom_moves/src/window.rs
@@ -54,7 +54,7 @@
 /// Shortest window that leaves time for a trial; a shorter one counts as this one.
 const MIN_WINDOW: Duration = Duration::from_secs(2);
 
-/// Time after the end of a move for which its evidence and verdict are kept.
+/// Time after the end of a move for which its evidence is kept.
 const RETENTION: Duration = Duration::from_secs(600);
 
 /// All requests, in thousandths.
@@ -76,9 +76,9 @@
     pub slow: Option<bool>,
 }
 
-/// Where this instance's requests to one service go.
+/// How this instance's requests to one service are split between its versions.
 #[derive(Clone, Debug)]
-struct Route {
+struct Split {
     name: Arc<str>,
     target: Arc<str>,
     step: Step,
@@ -91,7 +91,7 @@
 #[derive(Debug, Default)]
 struct Table {
     built_at: Timestamp,
-    routes: BTreeMap<Arc<str>, Route>,
+    splits: BTreeMap<Arc<str>, Split>,
 }
 
 /// State of one move on this instance.
@@ -173,29 +173,29 @@
     /// id. Only first attempts may go to a version on trial, so that retries help its callers.
     pub fn filter(&self, service: &str, request: u64, first: bool) -> topology::VersionFilter {
         let table = self.table();
-        let Some(route) = table.routes.get(service) else {
+        let Some(split) = table.splits.get(service) else {
             return topology::VersionFilter::default();
         };
         let fresh = self.inner.rt.now().since(table.built_at) <= MAX_AGE;
-        let chosen = match route.share {
+        let chosen = match split.share {
             0 => false,
             ALL => true,
-            share => first && fresh && is_chosen(&route.name, request, share),
+            share => first && fresh && is_chosen(&split.name, request, share),
         };
         topology::VersionFilter {
-            preferred: chosen.then(|| Arc::clone(&route.target)),
-            excluded: (!route.excluded.is_empty()).then(|| Arc::clone(&route.excluded)),
+            preferred: chosen.then(|| Arc::clone(&split.target)),
+            excluded: (!split.excluded.is_empty()).then(|| Arc::clone(&split.excluded)),
         }
     }
 
     /// Counts a finished attempt if a move of its service is under way.
     pub fn observe(&self, attempt: &Attempt<'_>) {
         let table = self.table();
-        let Some(route) = table.routes.get(attempt.service) else {
+        let Some(split) = table.splits.get(attempt.service) else {
             return;
         };
         let mut state = self.state();
-        let report = state.reports.entry(Arc::clone(&route.name)).or_default();
+        let report = state.reports.entry(Arc::clone(&split.name)).or_default();
         if !report.routes.contains_key(attempt.route) {
             report
                 .routes
@@ -204,8 +204,8 @@
         let Some(steps) = report.routes.get_mut(attempt.route) else {
             return;
         };
-        let pair = steps.entry(route.step).or_default();
-        let counters = match *attempt.version == *route.target {
+        let pair = steps.entry(split.step).or_default();
+        let counters = match *attempt.version == *split.target {
             true => &mut pair.new,
             false => &mut pair.old,
         };
@@ -329,7 +329,7 @@
 
     fn build_table(&self, state: &State, now: Timestamp, connected: bool) -> Table {
         let held = now.since(self.inner.started) < STARTUP_HOLD;
-        let mut routes = BTreeMap::new();
+        let mut splits = BTreeMap::new();
         for active in state.moves.values() {
             let service = &active.order.service;
             let (step, share) = active.share(now, self.inner.bound);
@@ -343,17 +343,17 @@
                     excluded.insert(Arc::clone(&active.order.version));
                 }
             }
-            let route = Route {
+            let split = Split {
                 name: Arc::clone(&active.order.name),
                 target: Arc::clone(&active.order.version),
                 step,
                 share: if usable || active.switched { share } else { 0 },
                 excluded: Arc::new(excluded),
             };
-            routes.insert(Arc::clone(service), route);
+            splits.insert(Arc::clone(service), split);
         }
         for (service, rejected) in &state.rejected {
-            routes.entry(Arc::clone(service)).or_insert_with(|| Route {
+            splits.entry(Arc::clone(service)).or_insert_with(|| Split {
                 name: Arc::default(),
                 target: Arc::default(),
                 step: Step::None,
@@ -363,7 +363,7 @@
         }
         Table {
             built_at: now,
-            routes,
+            splits,
         }
     }
 }
@@ -528,6 +528,7 @@
     share::hash(name, request) % ALL < share
 }
 
+/// Number of requests to the new version, over all routes and instances.
 fn new_requests(merged: &MergedReports) -> u64 {
     let routes = merged.routes().into_iter();
     routes
@@ -535,6 +536,7 @@
         .sum()
 }
 
+/// Number of failed or slow requests to the new version in an instance's own report.
 fn bad_replies(report: &Report) -> u64 {
     let pairs = report.routes.values().flat_map(BTreeMap::values);
     pairs.map(|pair| pair.new.failures + pair.new.slow).sum()
