Keep an instance that was cut off from undoing a completed move

What callers would see: every request to the service fails. An instance without contact to the platform at the end of a window had no proof, took the version back and wrote 'reverted' on its return, over the 'completed' after which the old replicas have stopped.

Cause: the decision for want of proof and the write of a phase both ignored that others may have decided meanwhile. Class of fault: a stale writer without a fence.

Change: for want of proof nothing is decided before 1 s of contact, and a phase is written on the condition of the order's revision.

Evidence: an_instance_without_contact_decides_nothing_for_want_of_proof failed before (a phase TakenBack was due) and passes now.

--- a/crates/marigoldloom_catalog/src/source.rs
+++ b/crates/marigoldloom_catalog/src/source.rs
@@ -156,7 +156,8 @@
     /// Registers the instance `own`, or updates its earlier registration.
     fn register(&self, own: &Member) -> impl Future<Output = Result<(), Error>> + Send;
 
-    /// Writes the phase of a version move as the status of its order.
+    /// Writes the phase of a version move as the status of its order. Fails if the order's record
+    /// has another revision by now.
     fn set_phase(
         &self,
         order: &Order,
--- a/crates/marigoldloom_moves/src/window.rs
+++ b/crates/marigoldloom_moves/src/window.rs
@@ -32,6 +32,9 @@
 /// that were made before are not known yet.
 const STARTUP_HOLD: Duration = Duration::from_secs(2);
 
+/// Time with contact to the platform after which an instance knows the phases that others wrote.
+const INFORMED_TIME: Duration = Duration::from_secs(1);
+
 /// Time between two evaluations of the evidence.
 const EVALUATION_PERIOD: Duration = Duration::from_millis(500);
 
@@ -119,6 +122,8 @@
     /// Versions that were taken back, by service.
     rejected: BTreeMap<Arc<str>, BTreeSet<Arc<str>>>,
     evaluated_at: Timestamp,
+    /// Since when this instance has contact to the platform; `None` if it has none.
+    connected_at: Option<Timestamp>,
 }
 
 struct Inner<R, X> {
@@ -164,6 +169,7 @@
                     reports: BTreeMap::new(),
                     rejected: BTreeMap::new(),
                     evaluated_at: started,
+                    connected_at: None,
                 }),
             }),
         }
@@ -222,6 +228,10 @@
         let now = self.inner.rt.now();
         let mut state = self.state();
         state.update_orders(orders, now);
+        state.connected_at = connected.then(|| state.connected_at.unwrap_or(now));
+        let informed = state
+            .connected_at
+            .is_some_and(|at| now.since(at) >= INFORMED_TIME);
         let evaluate = now.since(state.evaluated_at) >= EVALUATION_PERIOD;
         if evaluate {
             state.evaluated_at = now;
@@ -230,7 +240,7 @@
         for (name, active) in moves.iter_mut() {
             if active.decided.is_none() {
                 let own = reports.entry(Arc::clone(name)).or_default();
-                self.update(active, own, now, evaluate);
+                self.update(active, own, now, evaluate, informed);
             }
         }
         state.note_rejections();
@@ -266,8 +276,16 @@
         state.unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Updates a move that is under way.
-    fn update(&self, active: &mut Move, own: &mut Report, now: Timestamp, evaluate: bool) {
+    /// Updates a move that is under way. `informed` tells whether this instance would know its final
+    /// phase if another one had written it.
+    fn update(
+        &self,
+        active: &mut Move,
+        own: &mut Report,
+        now: Timestamp,
+        evaluate: bool,
+        informed: bool,
+    ) {
         let Inner {
             rt,
             exchange,
@@ -289,7 +307,7 @@
         let elapsed = now.since(active.start);
         let reason = match &active.progress.alarm {
             Some(alarm) => Some(alarm.to_string()),
-            None if elapsed >= active.window() && !active.switched => {
+            None if informed && elapsed >= active.window() && !active.switched => {
                 Some("proof is missing at the end of the window".to_owned())
             }
             None => None,
--- a/crates/marigoldloom_moves/tests/window.rs
+++ b/crates/marigoldloom_moves/tests/window.rs
@@ -72,6 +72,7 @@
         version: Arc::from("v2"),
         window: WINDOW,
         phase,
+        revision: 1,
     }
 }
 
@@ -200,6 +201,25 @@
     }
 }
 
+/// Guards against an instance that was cut off at the end of a window, takes a version back for want
+/// of proof and overwrites the phase that the others have written.
+#[test]
+fn an_instance_without_contact_decides_nothing_for_want_of_proof() {
+    virtual_runtime::block_on(1, |rt| async move {
+        let partition = Partition {
+            rt: rt.clone(),
+            map: Arc::default(),
+        };
+        let cut = &start(&rt, &[partition], 1, 0)[0];
+        cut.tick(&[order(Some(Phase::Running))], true);
+        rt.sleep(WINDOW + Duration::from_secs(5)).await;
+        let due = cut.tick(&[order(Some(Phase::Running))], false);
+        assert_eq!(due, [], "a phase without contact");
+        let due = cut.tick(&[order(Some(Phase::Done))], true);
+        assert_eq!(due, [], "a phase after the final one");
+    });
+}
+
 /// Guards against good versions that are taken back or not completed in time.
 #[test]
 fn good_versions_are_completed_in_time() {
--- a/crates/marigoldloom_records/src/version_move.rs
+++ b/crates/marigoldloom_records/src/version_move.rs
@@ -54,6 +54,9 @@
     pub window: Duration,
     /// Phase in the status of the order; `None` before the first status is written.
     pub phase: Option<Phase>,
+    /// Revision of the record. A phase is written only if the record still has it, so that no
+    /// instance overwrites a final phase that it doesn't know.
+    pub revision: u64,
 }
 
 /// Whether the operator wants a move to proceed or to be taken back.
--- a/crates/marigoldloom_standin/src/users/store.rs
+++ b/crates/marigoldloom_standin/src/users/store.rs
@@ -159,13 +159,18 @@
         Response::new(StatusCode::Ok)
     }
 
-    /// Replaces the status of an object for a call; status 404 if the object doesn't exist.
+    /// Replaces the status of an object for a call; status 404 if the object doesn't exist, 409 if
+    /// the call names another revision than the object's.
     fn replace_status(&self, kind: &str, name: &str, body: &Value) -> Response {
         let mut state = self.state();
         let key = (kind.to_owned(), name.to_owned());
         let Some(mut object) = state.objects.get(&key).cloned() else {
             return Response::new(StatusCode::NotFound);
         };
+        let revision = &body["meta"]["Revision"];
+        if !revision.is_null() && *revision != object["meta"]["Revision"] {
+            return Response::new(StatusCode::Conflict);
+        }
         if object["status"] != body["status"] {
             state.revision += 1;
             object["meta"]["Revision"] = json!(state.revision);
