Push entries without waiting for earlier pushes

Cause: an instance that doesn't respond kept the next batch of entries from all others for up to three times the response limit, 2.25 s. Evidence about a version that fails at full load must arrive within 0.7 s.

Change: each batch is pushed by a task of its own.

--- a/crates/marigoldloom_front/src/exchange.rs
+++ b/crates/marigoldloom_front/src/exchange.rs
@@ -224,7 +224,11 @@
             };
             let others = self.others().clone();
             for batch in entries.chunks(MAX_ENTRIES) {
-                self.push(batch, &others).await;
+                let (own, batch, others) = (self.clone(), batch.to_vec(), others.clone());
+                // An instance that doesn't respond must not delay the next entries.
+                self.inner
+                    .rt
+                    .spawn(async move { own.push(&batch, &others).await });
             }
         }
     }
