Prove a version at full load before its move is completed

Cause: at a share below the bound the upstreams on trial never carried the load that they have after the move, so a fault that needs load could not show. The move was then completed for want of bad evidence, the old upstreams stopped and nothing could be taken back. Second cause, found by playing slow versions on services without shards: the slow replies of the load test arrive after the verdict, so only the fast half of the replies was judged.

Change: marigoldloom_moves::plan gives the new version all first attempts for a moment shortly before the end of the window, as long as the bound on the sum allows. The move is complete only if at least 20 replies of that moment exclude a worse version; attempts without a reply count as slow, and so do attempts that were abandoned late. The phase is written 0.5 s before the end instead of 0.35 s: completed at 0.19 s before the end came too late for the operators. Instances tell each other that they have switched.

Ruled out: a higher share alone (the bound is on the sum over the window) and a control group of 10% during the test (its evidence stays below the threshold).

Measured: window.rs, 21 cases; the cases under load failed before (completed).

--- a/crates/marigoldloom_front/src/decisions.rs
+++ b/crates/marigoldloom_front/src/decisions.rs
@@ -2,11 +2,14 @@
 //! instances must know.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use marigoldloom_moves::window;
 use marigoldloom_peers::exchange::{Entry, Exchange};
 use marigoldloom_query::answer::Reason;
-use marigoldloom_query::hooks::{Decision, FinishedAttempt, Observer, Purpose, StrikeChange};
+use marigoldloom_query::hooks::{
+    Decision, FinishedAttempt, Observer, OpenAttempt, Purpose, StrikeChange,
+};
 use marigoldloom_runtime::runtime::Runtime;
 use marigoldloom_telemetry::metrics::Metrics;
 
@@ -31,24 +34,59 @@
 
 impl<R: Runtime> DecisionLog<R> {
     fn observe_version(&self, attempt: &FinishedAttempt<'_>) {
+        let origin = window::Origin {
+            service: attempt.shard_service,
+            route: attempt.route,
+            version: attempt.version,
+        };
         let failed = match attempt.failure {
             None => false,
             Some(Reason::Failed | Reason::Lost | Reason::TimedOut | Reason::Mismatch) => true,
             // The upstream has not run the request.
-            Some(_) => return,
+            Some(_) => return self.moves.discard(origin),
         };
-        let slow = attempt.slow_after;
         self.moves.observe(&window::Attempt {
-            service: attempt.shard_service,
-            route: attempt.route,
-            version: attempt.version,
+            origin,
             failed,
-            slow: slow.map(|limit| attempt.latency > limit * SLOW_FACTOR),
+            slow: attempt
+                .slow_after
+                .map(|limit| is_slow(attempt.latency, limit)),
         });
     }
 }
 
+/// Returns whether a reply is slow enough to tell against the version of its upstream.
+fn is_slow(latency: Duration, limit: Duration) -> bool {
+    latency > limit * SLOW_FACTOR
+}
+
+const fn origin<'a>(attempt: &OpenAttempt<'a>) -> window::Origin<'a> {
+    window::Origin {
+        service: attempt.shard_service,
+        route: attempt.route,
+        version: attempt.version,
+    }
+}
+
 impl<R: Runtime> Observer for DecisionLog<R> {
+    fn attempt_started(&self, attempt: &OpenAttempt<'_>) {
+        self.moves.begin(origin(attempt));
+    }
+
+    fn attempt_abandoned(&self, attempt: &OpenAttempt<'_>) {
+        match attempt.slow_after {
+            // It would have been slow, whatever its result.
+            Some(limit) if is_slow(attempt.latency, limit) => {
+                self.moves.observe(&window::Attempt {
+                    origin: origin(attempt),
+                    failed: false,
+                    slow: Some(true),
+                });
+            }
+            _ => self.moves.discard(origin(attempt)),
+        }
+    }
+
     fn attempt_finished(&self, attempt: &FinishedAttempt<'_>) {
         self.observe_version(attempt);
         let reason = purpose_label(attempt.purpose);
--- a/crates/marigoldloom_front/src/instance.rs
+++ b/crates/marigoldloom_front/src/instance.rs
@@ -15,6 +15,7 @@
 use marigoldloom_catalog::source::Source;
 use marigoldloom_limits::allowance::{Allowance, Sender};
 use marigoldloom_limits::cold;
+use marigoldloom_moves::plan::Exposure;
 use marigoldloom_peers::exchange::{Entry, Space};
 use marigoldloom_query::engine::{self, Engine};
 use marigoldloom_query::hooks::{self, Hooks};
@@ -83,9 +84,8 @@
     pub capacity: f64,
     /// Extra attempts that the operators allow per service.
     pub allowance: Allowance,
-    /// Largest part of a service's requests that a bad version may get during a version move,
-    /// between 0 and 1.
-    pub exposure: f64,
+    /// Largest number of requests that a bad version may get during a version move.
+    pub exposure: Exposure,
     /// Limits on connections to replicas.
     pub client: client::Settings,
 }
--- a/crates/marigoldloom_moves/src/evidence.rs
+++ b/crates/marigoldloom_moves/src/evidence.rs
@@ -22,6 +22,10 @@
     pub timed: u64,
     /// Successful requests whose latency was above the threshold at that time.
     pub slow: u64,
+    /// Attempts that were sent, also those that haven't ended.
+    pub started: u64,
+    /// Attempts that ended without telling anything about the version.
+    pub discarded: u64,
 }
 
 /// Counters of both versions over the same time.
@@ -57,12 +61,19 @@
 }
 
 impl Counters {
+    /// Returns the number of attempts that haven't ended.
+    pub const fn pending(&self) -> u64 {
+        self.started.saturating_sub(self.requests + self.discarded)
+    }
+
     fn max(self, other: Self) -> Self {
         Self {
             requests: self.requests.max(other.requests),
             failures: self.failures.max(other.failures),
             timed: self.timed.max(other.timed),
             slow: self.slow.max(other.slow),
+            started: self.started.max(other.started),
+            discarded: self.discarded.max(other.discarded),
         }
     }
 
@@ -72,6 +83,8 @@
             failures: self.failures.saturating_sub(earlier.failures),
             timed: self.timed.saturating_sub(earlier.timed),
             slow: self.slow.saturating_sub(earlier.slow),
+            started: self.started.saturating_sub(earlier.started),
+            discarded: self.discarded.saturating_sub(earlier.discarded),
         }
     }
 }
@@ -138,6 +151,17 @@
         Duration::from_millis(elapsed.max().unwrap_or_default())
     }
 
+    /// Returns the requests per second to both versions, each writer's over its own time.
+    pub fn rate(&self) -> f64 {
+        let rates = self.reports.values().map(|report| {
+            let pairs = report.routes.values().flat_map(BTreeMap::values);
+            let requests: u64 = pairs.map(CounterPair::requests).sum();
+            let elapsed = Duration::from_millis(report.elapsed_ms.max(1));
+            requests as f64 / elapsed.as_secs_f64()
+        });
+        rates.sum()
+    }
+
     /// Returns all routes with evidence.
     pub fn routes(&self) -> BTreeSet<&str> {
         let routes = self.reports.values().flat_map(|r| r.routes.keys());
--- a/crates/marigoldloom_moves/src/lib.rs
+++ b/crates/marigoldloom_moves/src/lib.rs
@@ -7,12 +7,13 @@
 //! final and spreads between peers, also while the platform is unreachable.
 //!
 //! [`control`] runs moves between versions of a whole service, which proceed in steps that each need
-//! proof. [`window`] runs moves of replicated services that must end within seconds, and bounds what
-//! the new version gets over the whole time.
+//! proof. [`window`] runs moves of replicated services that must end within seconds, by a [`plan`]
+//! that bounds what the new version gets over the whole time.
 
 pub mod control;
 pub mod evidence;
 pub mod moves;
+pub mod plan;
 pub mod sequential;
 pub mod share;
 pub mod window;
--- a/crates/marigoldloom_moves/src/progress.rs
+++ b/crates/marigoldloom_moves/src/progress.rs
@@ -8,7 +8,7 @@
 use marigoldloom_runtime::time;
 
 use crate::evidence::{CounterPair, MergedReports};
-use crate::sequential::{Baseline, Cusum, Fault, LogRatios};
+use crate::sequential::{Baseline, Cusum, Fault, LoadProof, LogRatios};
 use crate::share::{self, Inputs, Step};
 
 /// Minimum time at a step above 1%, so that a fault that depends on load can show.
@@ -59,6 +59,8 @@
     entered_at: time::Timestamp,
     routes: BTreeMap<String, RouteProgress>,
     pub(crate) proofs: share::Proofs,
+    /// Evidence of the time in which the new version gets all requests.
+    pub(crate) load: LoadProof,
     /// Evidence summed over all routes, each compared with its own baseline.
     pooled: Cusum,
 }
@@ -115,11 +117,17 @@
     pub(crate) fn add_evidence(&mut self, evidence: &MergedReports) {
         let mut pooled = LogRatios::default();
         let mut increase = BTreeMap::new();
+        self.load.clear_pending();
         for route in evidence.routes() {
             let progress = self.routes.entry(route.to_owned()).or_default();
             let update = progress.add_totals(evidence.totals_by_step(route));
             let proofs = self.proofs.entry(route.to_owned()).or_default();
             proofs.add(&update.increase, &progress.baseline);
+            if let Some(pair) = update.increase.get(&Step::Full) {
+                self.load.add(&pair.new, &progress.baseline);
+            }
+            let total = evidence.total(route, &Step::ALL);
+            self.load.add_pending(&total.new, &progress.baseline);
             pooled = pooled + update.ratios;
             add_pairs(&mut increase, &update.increase);
             let fault = progress.cusum.alarm();
--- a/crates/marigoldloom_moves/src/sequential.rs
+++ b/crates/marigoldloom_moves/src/sequential.rs
@@ -89,6 +89,19 @@
     },
 };
 
+/// Margins by which a load test excludes that the new version is worse. They are wide because the
+/// test has to end within some tens of requests.
+const LOAD_MARGINS: Margins = Margins {
+    failures: Margin {
+        floor: 0.005,
+        excess: 0.2,
+    },
+    slow: Margin {
+        floor: 0.05,
+        excess: 0.4,
+    },
+};
+
 /// Number of standard deviations added to the old version's rate in a proof.
 const PROOF_SIGMAS: f64 = 2.0;
 
@@ -186,6 +199,17 @@
     accepted: bool,
 }
 
+/// A probability ratio test of the replies of a load test, summed over all routes. Each route is
+/// compared with its own baseline.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LoadProof {
+    failures: f64,
+    slow: f64,
+    /// Part of `slow` from attempts that haven't ended.
+    pending: f64,
+    requests: u64,
+}
+
 /// CUSUMs of failures and slow replies, for both margins.
 #[derive(Clone, Debug, Default)]
 pub struct Cusum {
@@ -261,6 +285,45 @@
     }
 }
 
+impl LoadProof {
+    /// Adds replies of the new version on one route.
+    pub fn add(&mut self, new: &Counters, baseline: &Baseline) {
+        let failure_rate = upper_rate(baseline.failures, ALARM_SIGMAS);
+        let slow_rate = upper_rate(baseline.slow, ALARM_SIGMAS);
+        self.requests += new.requests;
+        self.failures += log_ratio(failure_sample(new), failure_rate, LOAD_MARGINS.failures);
+        self.slow += log_ratio(slow_sample(new), slow_rate, LOAD_MARGINS.slow);
+    }
+
+    /// Forgets the pending attempts, before those of the current evidence are added.
+    pub const fn clear_pending(&mut self) {
+        self.pending = 0.0;
+    }
+
+    /// Counts attempts on one route that haven't ended as slow. Only the fast replies of a slow
+    /// version arrive in time.
+    pub fn add_pending(&mut self, new: &Counters, baseline: &Baseline) {
+        let requests = new.pending() as f64;
+        let sample = Sample {
+            requests,
+            bad: requests,
+        };
+        let rate = upper_rate(baseline.slow, ALARM_SIGMAS);
+        self.pending += log_ratio(sample, rate, LOAD_MARGINS.slow);
+    }
+
+    /// Returns whether enough replies have arrived for a verdict.
+    pub const fn is_conclusive(&self) -> bool {
+        self.requests >= share::MIN_EVIDENCE_REQUESTS
+    }
+
+    /// Returns whether enough replies show that the new version isn't worse by the margins.
+    pub fn is_accepted(&self) -> bool {
+        let worst = self.failures.max(self.slow + self.pending);
+        self.is_conclusive() && worst <= FALSE_ACCEPT_RATE.ln()
+    }
+}
+
 impl Cusum {
     /// Adds the log-likelihood ratios of one update and the requests behind them, by step.
     pub fn add(&mut self, ratios: LogRatios, increase: &BTreeMap<share::Step, CounterPair>) {
--- a/crates/marigoldloom_moves/src/window.rs
+++ b/crates/marigoldloom_moves/src/window.rs
@@ -1,10 +1,8 @@
 //! Moves of replicated services within a window of seconds.
 //!
-//! The part of the service's requests that the new version gets over the whole window stays within
-//! a bound, whenever it turns out to be bad: each instance sends it the same small share of its own
-//! requests, so that the bound holds in sum without a count over all instances. The share rises to
-//! the whole only in the last moments of the window, by a plan that leaves room for a fault that
-//! shows only then. An instance that can't learn of the others' decisions sends it nothing.
+//! What the new version gets over the whole window stays within a bound, whenever it turns out to be
+//! bad: all instances follow the same [`plan`]. An instance that can't learn of the others' decisions
+//! sends it nothing. A version that isn't proven at full load is taken back.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
@@ -16,7 +14,8 @@
 use marigoldloom_runtime::runtime::Runtime;
 use marigoldloom_runtime::time::{self, Timestamp};
 
-use crate::evidence::{MergedReports, Report};
+use crate::evidence::{Counters, MergedReports, Report};
+use crate::plan::{Exposure, Plan, Stage};
 use crate::progress::Progress;
 use crate::share::{self, Step};
 use crate::status;
@@ -35,27 +34,19 @@
 /// Time with contact to the platform after which an instance knows the phases that others wrote.
 const INFORMED_TIME: Duration = Duration::from_secs(1);
 
-/// Time between two evaluations of the evidence.
+/// Time between two evaluations of the evidence before the load test; then each tick evaluates it.
 const EVALUATION_PERIOD: Duration = Duration::from_millis(500);
 
 /// Longest time between two publications of evidence that shows no fault.
 const PUBLISH_PERIOD: Duration = Duration::from_secs(2);
 
-/// Part of the bound that the plan uses. The rest allows for the randomness of the choice by hash.
-const PLANNED_PART: f64 = 0.9;
-
-/// Part of the window before the trial share is doubled.
-const TRIAL_PART: f64 = 0.75;
-
-/// Time before the end of the window at which all requests go to the new version.
-const SWITCH_MARGIN: Duration = Duration::from_millis(600);
-
 /// Time before the end of the window at which the move is declared done, so that requests to the
 /// old version have ended when its replicas stop.
-const DONE_MARGIN: Duration = Duration::from_millis(350);
+const DONE_MARGIN: Duration = Duration::from_millis(500);
 
-/// Shortest window that leaves time for a trial; a shorter one counts as this one.
-const MIN_WINDOW: Duration = Duration::from_secs(2);
+/// Time before the end of the window at which a version without proof is taken back. By then an
+/// instance that has switched has told the others.
+const UNPROVEN_MARGIN: Duration = Duration::from_millis(300);
 
 /// Time after the end of a move for which its evidence is kept.
 const RETENTION: Duration = Duration::from_secs(600);
@@ -63,15 +54,22 @@
 /// All requests, in thousandths.
 const ALL: u64 = 1_000;
 
-/// A finished attempt, as evidence about the version of its upstream.
+/// What an attempt was sent for.
 #[derive(Clone, Copy, Debug)]
-pub struct Attempt<'a> {
+pub struct Origin<'a> {
     /// Name of the replicated service.
     pub service: &'a str,
     /// Name of the route.
     pub route: &'a str,
     /// Version of the upstream's software.
     pub version: &'a str,
+}
+
+/// A finished attempt, as evidence about the version of its upstream.
+#[derive(Clone, Copy, Debug)]
+pub struct Attempt<'a> {
+    /// What it was sent for.
+    pub origin: Origin<'a>,
     /// Whether the attempt failed, and the version may be the cause.
     pub failed: bool,
     /// Whether the reply came later than usual for the service and route; `None` if that tells
@@ -87,6 +85,8 @@
     step: Step,
     /// Share of the requests that go to the target, in thousandths.
     share: u64,
+    /// Whether retries go to the target, too.
+    decided: bool,
     /// Versions that get no requests otherwise.
     excluded: Arc<BTreeSet<Arc<str>>>,
 }
@@ -103,6 +103,7 @@
     /// Start of the window by this instance's clock. Moved back if another instance has known the
     /// order for longer.
     start: Timestamp,
+    plan: Plan,
     progress: Progress,
     /// Evidence of all instances at the last evaluation.
     merged: MergedReports,
@@ -113,6 +114,10 @@
     published_at: Option<Timestamp>,
     /// Number of bad replies of the new version in the last published report.
     published_bad: u64,
+    /// When the evidence was last evaluated.
+    evaluated_at: Option<Timestamp>,
+    /// Stage in the log's last line about the move.
+    logged_stage: Stage,
 }
 
 struct State {
@@ -121,7 +126,6 @@
     reports: BTreeMap<Arc<str>, Report>,
     /// Versions that were taken back, by service.
     rejected: BTreeMap<Arc<str>, BTreeSet<Arc<str>>>,
-    evaluated_at: Timestamp,
     /// Since when this instance has contact to the platform; `None` if it has none.
     connected_at: Option<Timestamp>,
 }
@@ -132,8 +136,7 @@
     /// Name under which this process publishes its evidence.
     writer: Arc<str>,
     started: Timestamp,
-    /// Largest part of a service's requests that a bad version may get.
-    bound: f64,
+    exposure: Exposure,
     table: RwLock<Arc<Table>>,
     state: Mutex<State>,
 }
@@ -153,8 +156,8 @@
 
 impl<R: Runtime, X: Exchange> WindowedMoves<R, X> {
     /// Creates the moves of the process `writer`. Over a whole window, a bad version gets at most
-    /// the part `bound` of a service's requests.
-    pub fn new(rt: R, exchange: X, writer: Arc<str>, bound: f64) -> Self {
+    /// `exposure`.
+    pub fn new(rt: R, exchange: X, writer: Arc<str>, exposure: Exposure) -> Self {
         let started = rt.now();
         Self {
             inner: Arc::new(Inner {
@@ -162,13 +165,12 @@
                 exchange,
                 writer,
                 started,
-                bound,
+                exposure,
                 table: RwLock::default(),
                 state: Mutex::new(State {
                     moves: BTreeMap::new(),
                     reports: BTreeMap::new(),
                     rejected: BTreeMap::new(),
-                    evaluated_at: started,
                     connected_at: None,
                 }),
             }),
@@ -185,7 +187,7 @@
         let fresh = self.inner.rt.now().since(table.built_at) <= MAX_AGE;
         let chosen = match split.share {
             0 => false,
-            ALL => true,
+            ALL if split.decided && fresh => true,
             share => first && fresh && is_chosen(&split.name, request, share),
         };
         topology::VersionFilter {
@@ -194,32 +196,48 @@
         }
     }
 
+    /// Counts an attempt that is sent if a move of its service is under way.
+    pub fn begin(&self, origin: Origin<'_>) {
+        self.count(origin, |counters| counters.started += 1);
+    }
+
+    /// Counts an attempt that ended without telling anything about the version.
+    pub fn discard(&self, origin: Origin<'_>) {
+        self.count(origin, |counters| counters.discarded += 1);
+    }
+
     /// Counts a finished attempt if a move of its service is under way.
     pub fn observe(&self, attempt: &Attempt<'_>) {
+        let slow = attempt.slow.filter(|_| !attempt.failed);
+        self.count(attempt.origin, |counters| {
+            counters.requests += 1;
+            counters.failures += u64::from(attempt.failed);
+            counters.timed += u64::from(slow.is_some());
+            counters.slow += u64::from(slow == Some(true));
+        });
+    }
+
+    fn count(&self, origin: Origin<'_>, update: impl FnOnce(&mut Counters)) {
         let table = self.table();
-        let Some(split) = table.splits.get(attempt.service) else {
+        let Some(split) = table.splits.get(origin.service) else {
             return;
         };
         let mut state = self.state();
         let report = state.reports.entry(Arc::clone(&split.name)).or_default();
-        if !report.routes.contains_key(attempt.route) {
+        if !report.routes.contains_key(origin.route) {
             report
                 .routes
-                .insert(attempt.route.to_owned(), BTreeMap::new());
+                .insert(origin.route.to_owned(), BTreeMap::new());
         }
-        let Some(steps) = report.routes.get_mut(attempt.route) else {
+        let Some(steps) = report.routes.get_mut(origin.route) else {
             return;
         };
         let pair = steps.entry(split.step).or_default();
-        let counters = match *attempt.version == *split.target {
+        let counters = match *origin.version == *split.target {
             true => &mut pair.new,
             false => &mut pair.old,
         };
-        counters.requests += 1;
-        counters.failures += u64::from(attempt.failed);
-        let slow = attempt.slow.filter(|_| !attempt.failed);
-        counters.timed += u64::from(slow.is_some());
-        counters.slow += u64::from(slow == Some(true));
+        update(counters);
     }
 
     /// Evaluates all moves and applies the decisions. `connected` tells whether this instance learns
@@ -227,20 +245,16 @@
     pub fn tick(&self, orders: &[Order], connected: bool) -> Vec<Order> {
         let now = self.inner.rt.now();
         let mut state = self.state();
-        state.update_orders(orders, now);
+        state.update_orders(orders, now, self.inner.exposure);
         state.connected_at = connected.then(|| state.connected_at.unwrap_or(now));
         let informed = state
             .connected_at
             .is_some_and(|at| now.since(at) >= INFORMED_TIME);
-        let evaluate = now.since(state.evaluated_at) >= EVALUATION_PERIOD;
-        if evaluate {
-            state.evaluated_at = now;
-        }
         let State { moves, reports, .. } = &mut *state;
         for (name, active) in moves.iter_mut() {
             if active.decided.is_none() {
                 let own = reports.entry(Arc::clone(name)).or_default();
-                self.update(active, own, now, evaluate, informed);
+                self.update(active, own, now, informed);
             }
         }
         state.note_rejections();
@@ -278,14 +292,7 @@
 
     /// Updates a move that is under way. `informed` tells whether this instance would know its final
     /// phase if another one had written it.
-    fn update(
-        &self,
-        active: &mut Move,
-        own: &mut Report,
-        now: Timestamp,
-        evaluate: bool,
-        informed: bool,
-    ) {
+    fn update(&self, active: &mut Move, own: &mut Report, now: Timestamp, informed: bool) {
         let Inner {
             rt,
             exchange,
@@ -293,43 +300,38 @@
             ..
         } = &*self.inner;
         let name = Arc::clone(&active.order.name);
-        // An instance that doesn't send needs the evidence only to decide at the end.
-        if evaluate && (!own.routes.is_empty() || active.is_over(now)) {
+        if active.take_evaluation(own, now) {
             let writer = format!("{name}/{writer}");
             let mut merged = status::merged_evidence(exchange, &name);
             merged.add(&writer, own);
             active.adjust_start(now, merged.elapsed());
             active.progress.add_evidence(&merged);
+            let elapsed = now.since(active.start);
+            active.plan.set_rate(elapsed, merged.rate());
             active.merged = merged;
-            own.elapsed_ms = time::millis(now.since(active.start));
+            own.elapsed_ms = time::millis(elapsed);
             self.publish(active, &writer, own, now);
         }
         let elapsed = now.since(active.start);
-        let reason = match &active.progress.alarm {
-            Some(alarm) => Some(alarm.to_string()),
-            None if informed && elapsed >= active.window() && !active.switched => {
-                Some("proof is missing at the end of the window".to_owned())
-            }
-            None => None,
-        };
-        if let Some(reason) = reason {
+        active.note_stage(elapsed);
+        active.switch(elapsed);
+        if let Some(reason) = active.fault(elapsed, informed) {
             status::take_back(exchange, rt.wall(), &name, &reason);
         }
         let verdict = status::verdict(exchange, rt.wall(), &name);
         active.decide(verdict.as_ref(), elapsed);
+        own.done |= active.switched;
     }
 
-    /// Publishes this instance's evidence at once if it shows new bad replies of the new version,
-    /// otherwise at regular intervals.
+    /// Publishes this instance's evidence at once from the load test on or if it shows new bad replies
+    /// of the new version, otherwise at regular intervals.
     fn publish(&self, active: &mut Move, writer: &str, own: &Report, now: Timestamp) {
         let bad = bad_replies(own);
         let due = active
             .published_at
             .is_none_or(|at| now.since(at) >= PUBLISH_PERIOD);
-        if !due && bad == active.published_bad {
-            return;
-        }
-        if own.routes.is_empty() {
+        let tested = active.stage(now) > Stage::Trial;
+        if own.routes.is_empty() || !(due || tested || bad != active.published_bad) {
             return;
         }
         active.published_at = Some(now);
@@ -350,7 +352,7 @@
         let mut splits = BTreeMap::new();
         for active in state.moves.values() {
             let service = &active.order.service;
-            let (step, share) = active.share(now, self.inner.bound);
+            let (step, share) = active.share(now);
             let usable = connected && !held;
             let mut excluded = state.rejected.get(service).cloned().unwrap_or_default();
             match active.decided {
@@ -366,6 +368,7 @@
                 target: Arc::clone(&active.order.version),
                 step,
                 share: if usable || active.switched { share } else { 0 },
+                decided: active.switched || active.decided == Some(Phase::Done),
                 excluded: Arc::new(excluded),
             };
             splits.insert(Arc::clone(service), split);
@@ -376,6 +379,7 @@
                 target: Arc::default(),
                 step: Step::None,
                 share: 0,
+                decided: false,
                 excluded: Arc::new(rejected.clone()),
             });
         }
@@ -388,7 +392,7 @@
 
 impl State {
     /// Adds new orders and drops those that were withdrawn.
-    fn update_orders(&mut self, orders: &[Order], now: Timestamp) {
+    fn update_orders(&mut self, orders: &[Order], now: Timestamp, exposure: Exposure) {
         self.moves
             .retain(|name, _| orders.iter().any(|order| order.name == *name));
         self.reports
@@ -402,7 +406,7 @@
                 rejected.remove(&order.version);
             }
             let active = self.moves.entry(Arc::clone(&order.name));
-            let active = active.or_insert_with(|| Move::new(order.clone(), now));
+            let active = active.or_insert_with(|| Move::new(order.clone(), now, exposure));
             active.set_order(order);
         }
     }
@@ -422,7 +426,7 @@
 }
 
 impl Move {
-    fn new(order: Order, now: Timestamp) -> Self {
+    fn new(order: Order, now: Timestamp, exposure: Exposure) -> Self {
         tracing::info!(
             service = %order.service,
             version = %order.version,
@@ -431,6 +435,7 @@
             "version move ordered"
         );
         Self {
+            plan: Plan::new(order.window, exposure),
             order,
             start: now,
             progress: Progress::default(),
@@ -439,6 +444,8 @@
             switched: false,
             published_at: None,
             published_bad: 0,
+            evaluated_at: None,
+            logged_stage: Stage::Trial,
         }
     }
 
@@ -453,12 +460,27 @@
         }
     }
 
-    fn window(&self) -> Duration {
-        self.order.window.max(MIN_WINDOW)
+    fn stage(&self, now: Timestamp) -> Stage {
+        self.plan.stage(now.since(self.start))
     }
 
     fn is_over(&self, now: Timestamp) -> bool {
-        now.since(self.start) + SWITCH_MARGIN >= self.window()
+        self.stage(now) == Stage::Switch
+    }
+
+    /// Returns whether the evidence must be evaluated now. An instance that sends nothing to the
+    /// service needs it only to decide at the end.
+    fn take_evaluation(&mut self, own: &Report, now: Timestamp) -> bool {
+        let stage = self.stage(now);
+        let needed = !own.routes.is_empty() || stage >= Stage::Verdict;
+        let due = self
+            .evaluated_at
+            .is_none_or(|at| now.since(at) >= EVALUATION_PERIOD);
+        let evaluate = needed && (due || stage > Stage::Trial);
+        if evaluate {
+            self.evaluated_at = Some(now);
+        }
+        evaluate
     }
 
     /// Moves the start back if another instance has known the order for the time `elapsed`.
@@ -467,33 +489,83 @@
         self.start = self.start.min(start);
     }
 
+    fn note_stage(&mut self, elapsed: Duration) {
+        let stage = self.plan.stage(elapsed);
+        if stage == self.logged_stage {
+            return;
+        }
+        self.logged_stage = stage;
+        tracing::info!(
+            service = %self.order.service,
+            version = %self.order.version,
+            ?stage,
+            elapsed_ms = time::millis(elapsed),
+            rate = self.merged.rate(),
+            suspect = self.progress.suspect,
+            load_test = ?self.progress.load,
+            "stage of a version move"
+        );
+    }
+
+    /// Returns why the version must be taken back; `None` if there is no reason yet.
+    fn fault(&self, elapsed: Duration, informed: bool) -> Option<String> {
+        let stage = self.plan.stage(elapsed);
+        let load = &self.progress.load;
+        let unproven = elapsed + UNPROVEN_MARGIN >= self.plan.window() && !self.switched;
+        match &self.progress.alarm {
+            Some(alarm) => Some(alarm.to_string()),
+            // The old version gets hardly any requests at full load that a common cause could show in.
+            None if stage == Stage::Switch && informed && self.progress.suspect => {
+                Some("the new version is worse at full load".to_owned())
+            }
+            None if stage == Stage::Switch
+                && informed
+                && !self.switched
+                && load.is_conclusive() =>
+            {
+                Some("the load test doesn't prove the new version".to_owned())
+            }
+            None if unproven && informed => {
+                Some("proof at full load is missing at the end of the window".to_owned())
+            }
+            None => None,
+        }
+    }
+
+    /// Sends all requests to a version that the load test has proven here or on another instance.
+    fn switch(&mut self, elapsed: Duration) {
+        let proven = !self.progress.suspect && self.progress.load.is_accepted();
+        let due = self.plan.stage(elapsed) == Stage::Switch && !self.switched;
+        if due && (proven || self.merged.is_done()) {
+            self.switched = true;
+            tracing::info!(
+                service = %self.order.service,
+                version = %self.order.version,
+                elapsed_ms = time::millis(elapsed),
+                load_test = ?self.progress.load,
+                evidence = ?self.merged.summary(),
+                "all requests go to the new version"
+            );
+        }
+    }
+
     /// Decides at the end of the window, or when another instance has decided.
     fn decide(&mut self, verdict: Option<&status::Verdict>, elapsed: Duration) {
         if let Some(verdict) = verdict {
             self.decided = Some(Phase::TakenBack);
+            self.switched = false;
             tracing::warn!(
                 service = %self.order.service,
                 version = %self.order.version,
                 elapsed_ms = time::millis(elapsed),
                 reason = verdict.reason,
+                load_test = ?self.progress.load,
                 evidence = ?self.merged.summary(),
                 "version move taken back"
             );
             return;
         }
-        let accepted =
-            !self.progress.suspect && new_requests(&self.merged) >= share::MIN_EVIDENCE_REQUESTS;
-        if !self.switched && accepted && elapsed + SWITCH_MARGIN >= self.window() {
-            self.switched = true;
-            tracing::info!(
-                service = %self.order.service,
-                version = %self.order.version,
-                elapsed_ms = time::millis(elapsed),
-                evidence = ?self.merged.summary(),
-                "all requests go to the new version"
-            );
-        }
-        if self.switched && elapsed + DONE_MARGIN >= self.window() {
+        if self.switched && elapsed + DONE_MARGIN >= self.plan.window() {
             self.decided = Some(Phase::Done);
             self.log("version move complete", Phase::Done);
         }
@@ -509,25 +581,15 @@
     }
 
     /// Returns the step and the share of requests that go to the new version, in thousandths.
-    fn share(&self, now: Timestamp, bound: f64) -> (Step, u64) {
+    fn share(&self, now: Timestamp) -> (Step, u64) {
+        let stage = self.stage(now);
         match self.decided {
-            Some(Phase::TakenBack) => return (Step::None, 0),
-            Some(Phase::Done) => return (Step::Full, ALL),
-            _ if self.switched => return (Step::Full, ALL),
-            _ => {}
+            Some(Phase::TakenBack) => (Step::None, 0),
+            Some(Phase::Done) => (Step::Full, ALL),
+            _ if self.switched => (Step::Full, ALL),
+            _ if stage == Stage::LoadTest && !self.progress.suspect => (Step::Full, ALL),
+            _ => (stage.step(), self.plan.trial_share()),
         }
-        let window = self.window().as_secs_f64();
-        let switch = SWITCH_MARGIN.as_secs_f64() / window;
-        let second = 1.0 - TRIAL_PART - switch;
-        // The trial share for most of the window, twice as much until the switch, then everything.
-        let trial = (bound * PLANNED_PART - switch) / (TRIAL_PART + 2.0 * second.max(0.0));
-        let trial = trial.clamp(0.0, bound);
-        let in_trial = now.since(self.start).as_secs_f64() < window * TRIAL_PART;
-        let (step, share) = match in_trial || self.progress.suspect {
-            true => (Step::Five, trial),
-            false => (Step::Quarter, trial * 2.0),
-        };
-        (step, (share * ALL as f64) as u64)
     }
 
     /// Returns the order with the phase that its status must state; `None` if it states that.
@@ -546,14 +608,6 @@
     share::hash(name, request) % ALL < share
 }
 
-/// Number of requests to the new version, over all routes and instances.
-fn new_requests(merged: &MergedReports) -> u64 {
-    let routes = merged.routes().into_iter();
-    routes
-        .map(|route| merged.total(route, &Step::ALL).new.requests)
-        .sum()
-}
-
 /// Number of failed or slow requests to the new version in an instance's own report.
 fn bad_replies(report: &Report) -> u64 {
     let pairs = report.routes.values().flat_map(BTreeMap::values);
--- a/crates/marigoldloom_moves/tests/merge.rs
+++ b/crates/marigoldloom_moves/tests/merge.rs
@@ -70,6 +70,8 @@
         failures: count(),
         timed: count(),
         slow: count(),
+        started: count(),
+        discarded: count(),
     }
 }
 
@@ -84,6 +86,8 @@
         && before.failures <= after.failures
         && before.timed <= after.timed
         && before.slow <= after.slow
+        && before.started <= after.started
+        && before.discarded <= after.discarded
 }
 
 quickcheck::quickcheck! {
--- a/crates/marigoldloom_moves/tests/window.rs
+++ b/crates/marigoldloom_moves/tests/window.rs
@@ -3,7 +3,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use marigoldloom_moves::window::{Attempt, TICK_INTERVAL, WindowedMoves};
+use marigoldloom_moves::plan::Exposure;
+use marigoldloom_moves::window::{Attempt, Origin, TICK_INTERVAL, WindowedMoves};
 use marigoldloom_peers::exchange::{Entry, Exchange, Space};
 use marigoldloom_peers::shared_map::SharedMap;
 use marigoldloom_records::version_move::{Order, Phase};
@@ -21,6 +22,14 @@
 
 const WINDOW: Duration = Duration::from_secs(12);
 
+const ROUTES: [&str; 2] = ["search", "tag"];
+
+/// Time until a slow reply. It is longer than what is left of the window after the load test.
+const SLOW_TIME: Duration = Duration::from_secs(3);
+
+/// Ticks over which the load of the new version is measured.
+const LOAD_TICKS: usize = 2;
+
 /// The shared map of the instances that reach each other.
 #[derive(Clone)]
 struct Partition {
@@ -39,6 +48,49 @@
     }
 }
 
+/// How a version fails.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Fault {
+    None,
+    /// All requests from this part of the window on.
+    From(f64),
+    /// One request in this many from this part of the window on.
+    Part(u64, f64),
+    /// Half of the requests while the version gets more than this share of the requests.
+    UnderLoad(f64),
+    /// Half of the requests take [`SLOW_TIME`] while the version gets more than this share.
+    SlowUnderLoad(f64),
+    /// All requests on the route with less traffic.
+    OnRoute,
+}
+
+/// What the fault of a request to the new version depends on.
+#[derive(Clone, Copy, Debug)]
+struct Situation {
+    /// Part of the window that has passed.
+    elapsed: f64,
+    /// Share of the requests of the last ticks that went to the new version.
+    load: f64,
+    route: &'static str,
+    random: u64,
+}
+
+impl Fault {
+    fn affects(self, situation: Situation) -> bool {
+        match self {
+            Self::None => false,
+            Self::From(start) => situation.elapsed >= start,
+            Self::Part(one_in, start) => {
+                situation.elapsed >= start && situation.random.is_multiple_of(one_in)
+            }
+            Self::UnderLoad(share) | Self::SlowUnderLoad(share) => {
+                situation.load > share && situation.random.is_multiple_of(2)
+            }
+            Self::OnRoute => situation.route == ROUTES[1],
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Case {
     instances: usize,
@@ -48,8 +100,8 @@
     partitions: usize,
     /// Requests to the service in each tick.
     rate: u32,
-    /// Part of the window after which the new version fails all requests; above 1 never.
-    bad_from: f64,
+    /// How the new version fails.
+    fault: Fault,
     /// Part of the window after which all instances are replaced; above 1 never.
     replaced_at: f64,
     /// Whether the instances have contact to the platform.
@@ -76,31 +128,65 @@
     }
 }
 
+/// What became of one request.
+#[derive(Clone, Copy, Debug, Default)]
+struct Sent {
+    new: bool,
+    bad: bool,
+}
+
 type Instances = Vec<WindowedMoves<VirtualRuntime, Partition>>;
 
 fn start(rt: &VirtualRuntime, partitions: &[Partition], count: usize, start: u32) -> Instances {
     let start = |number: usize| {
         let exchange = partitions[number % partitions.len()].clone();
         let writer = Arc::from(format!("i{number}@{start}"));
-        WindowedMoves::new(rt.clone(), exchange, writer, BOUND)
+        let exposure = Exposure {
+            share: BOUND,
+            requests: SLACK,
+        };
+        WindowedMoves::new(rt.clone(), exchange, writer, exposure)
     };
     (0..count).map(start).collect()
 }
 
-/// Sends one request through `instance`. Returns whether it went to the new version.
-fn send(rt: &VirtualRuntime, instance: &Instances, senders: usize, bad: bool) -> bool {
+/// Sends one request through an instance. Returns whether it went to the new version and failed.
+fn send(rt: &VirtualRuntime, instances: &Instances, case: Case, elapsed: f64, load: f64) -> Sent {
     let random = rt.random();
-    let sender = usize::try_from(random % senders as u64).unwrap();
-    let moves = &instance[sender];
+    let sender = usize::try_from(random % case.senders as u64).unwrap();
+    let moves = &instances[sender];
+    let route = ROUTES[usize::from(random >> 32 & 3 == 0)];
     let new = moves.filter("s", rt.random(), true).preferred.is_some();
-    moves.observe(&Attempt {
+    let situation = Situation {
+        elapsed,
+        load,
+        route,
+        random: rt.random(),
+    };
+    let bad = new && case.fault.affects(situation);
+    let slow = bad && matches!(case.fault, Fault::SlowUnderLoad(_));
+    let origin = Origin {
         service: "s",
-        route: ["search", "tag"][usize::from(random >> 32 & 3 == 0)],
+        route,
         version: if new { "v2" } else { "v1" },
-        failed: new && bad,
-        slow: Some(false),
-    });
-    new
+    };
+    let attempt = Attempt {
+        origin,
+        failed: bad && !slow,
+        slow: Some(slow),
+    };
+    moves.begin(origin);
+    match slow {
+        true => rt.spawn({
+            let (rt, moves) = (rt.clone(), moves.clone());
+            async move {
+                rt.sleep(SLOW_TIME).await;
+                moves.observe(&attempt);
+            }
+        }),
+        false => moves.observe(&attempt),
+    }
+    Sent { new, bad }
 }
 
 async fn play(rt: VirtualRuntime, case: Case) -> Sums {
@@ -115,6 +201,7 @@
     let began = rt.now();
     let mut sums = Sums::default();
     let mut replaced = false;
+    let mut shares = Vec::new();
     while rt.now().since(began) < WINDOW {
         let elapsed = rt.now().since(began).as_secs_f64() / WINDOW.as_secs_f64();
         if elapsed >= case.replaced_at && !replaced {
@@ -127,20 +214,23 @@
             let ended = due.rfind(|phase| *phase != Phase::Running);
             sums.phase = ended.or(sums.phase);
         }
-        let bad = elapsed >= case.bad_from;
-        for _ in 0..case.rate {
-            let new = send(&rt, &instances, case.senders, bad);
-            sums.all += 1;
-            sums.new += u64::from(new);
-            sums.bad += u64::from(new && bad);
-        }
+        let recent = shares.iter().rev().take(LOAD_TICKS);
+        let load = recent.sum::<f64>() / LOAD_TICKS as f64;
+        let sent: Vec<_> = (0..case.rate)
+            .map(|_| send(&rt, &instances, case, elapsed, load))
+            .collect();
+        let count = |test: fn(&Sent) -> bool| sent.iter().filter(|s| test(s)).count() as u64;
+        sums.all += sent.len() as u64;
+        sums.new += count(|s| s.new);
+        sums.bad += count(|s| s.bad);
+        shares.push(count(|s| s.new) as f64 / sent.len() as f64);
         rt.sleep(TICK_INTERVAL).await;
     }
     sums
 }
 
 /// Guards against a bound that holds for each instance but not in sum, or not if the version turns
-/// bad late in the window.
+/// bad late in the window or fails only under load.
 #[test]
 fn exposure_to_a_bad_version_is_bounded_in_sum() {
     let small = Case {
@@ -148,7 +238,7 @@
         senders: 8,
         partitions: 1,
         rate: 9,
-        bad_from: 0.0,
+        fault: Fault::From(0.0),
         replaced_at: 2.0,
         connected: true,
     };
@@ -158,24 +248,55 @@
         rate: 200,
         ..small
     };
-    let late = [0.0, 0.3, 0.7, 0.9, 0.96].map(|bad_from| Case { bad_from, ..small });
+    let faults = [
+        Fault::From(0.0),
+        Fault::From(0.3),
+        Fault::From(0.7),
+        Fault::From(0.9),
+        Fault::From(0.96),
+        Fault::Part(5, 0.75),
+        Fault::UnderLoad(0.3),
+        Fault::UnderLoad(0.6),
+        Fault::SlowUnderLoad(0.5),
+        Fault::OnRoute,
+    ];
+    let faults = faults.map(|fault| Case { fault, ..small });
     let others = [
         target,
         Case {
-            bad_from: 0.9,
+            fault: Fault::From(0.9),
+            ..target
+        },
+        Case {
+            fault: Fault::UnderLoad(0.5),
             ..target
         },
         Case {
             partitions: 3,
             ..small
         },
+        Case {
+            partitions: 3,
+            fault: Fault::UnderLoad(0.5),
+            ..small
+        },
         Case {
             replaced_at: 0.1,
             ..small
         },
         Case {
             replaced_at: 0.5,
-            bad_from: 0.4,
+            fault: Fault::From(0.4),
+            ..small
+        },
+        Case {
+            replaced_at: 0.5,
+            fault: Fault::UnderLoad(0.5),
+            ..small
+        },
+        Case {
+            replaced_at: 0.8,
+            fault: Fault::UnderLoad(0.5),
             ..small
         },
         Case {
@@ -187,18 +308,21 @@
             ..target
         },
     ];
-    for (seed, case) in (1..).zip(late.into_iter().chain(others)) {
+    let mut problems = Vec::new();
+    for (seed, case) in (1..).zip(faults.into_iter().chain(others)) {
         let sums = virtual_runtime::block_on(seed, |rt| play(rt, case));
         let allowed = sums.all as f64 * BOUND + SLACK;
-        assert!(sums.new as f64 <= allowed, "{case:?}: {sums:?}");
-        assert_ne!(
-            sums.phase,
-            Some(Phase::Done).filter(|_| case.bad_from < 0.9)
-        );
-        let soon = case.bad_from < 0.9 && case.senders == 8;
-        assert!(!soon || sums.bad < BAD_LIMIT, "{case:?}: {sums:?}");
-        assert!(case.connected || sums.new == 0, "{case:?}: {sums:?}");
+        let unseen = matches!(case.fault, Fault::From(start) if start >= 0.9);
+        let wrong = match sums {
+            Sums { new, .. } if new as f64 > allowed => "too many requests to the bad version",
+            Sums { phase, .. } if phase == Some(Phase::Done) && !unseen => "completed",
+            Sums { bad, .. } if bad >= BAD_LIMIT && !unseen && case.senders == 8 => "late verdict",
+            Sums { new, .. } if new > 0 && !case.connected => "requests without contact",
+            _ => continue,
+        };
+        problems.push((wrong, case, sums));
     }
+    assert!(problems.is_empty(), "{problems:#?}");
 }
 
 /// Guards against an instance that was cut off at the end of a window, takes a version back for want
@@ -229,7 +353,7 @@
             senders: instances,
             partitions: 1,
             rate: 9,
-            bad_from: 2.0,
+            fault: Fault::None,
             replaced_at: 2.0,
             connected: true,
         };
--- a/crates/marigoldloom_query/src/attempt.rs
+++ b/crates/marigoldloom_query/src/attempt.rs
@@ -48,10 +48,21 @@
     slow_after: Duration,
     /// Replicated service of the shard.
     shard_service: Arc<str>,
+    route: Arc<str>,
     /// Whether no result was recorded yet.
     pending: bool,
 }
 
+/// What an attempt is made for.
+#[derive(Clone, Copy)]
+pub(crate) struct Origin<'a> {
+    pub(crate) purpose: hooks::Purpose,
+    /// A reply that takes longer is slow.
+    pub(crate) slow_after: Duration,
+    pub(crate) shard_service: &'a Arc<str>,
+    pub(crate) route: &'a Arc<str>,
+}
+
 /// The replica selected for an attempt, before capacity is reserved on it.
 pub(crate) struct SelectedReplica {
     pub(crate) replica: Arc<topology::Replica>,
@@ -70,9 +81,7 @@
     pub(crate) fn reserve(
         core: &Arc<Core<R, U, H>>,
         selected: SelectedReplica,
-        purpose: hooks::Purpose,
-        slow_after: Duration,
-        shard_service: &Arc<str>,
+        origin: Origin<'_>,
     ) -> Option<Self> {
         let now = core.rt.now();
         let name = &selected.replica.target.name;
@@ -83,19 +92,26 @@
             && selected
                 .health
                 .try_begin(now, &selected.view, selected.request_limit);
-        taken.then(|| Self {
+        if !taken {
+            return None;
+        }
+        let reservation = Self {
             core: Arc::clone(core),
             replica: selected.replica,
-            purpose,
+            purpose: origin.purpose,
             deadline: selected.deadline,
             start_id: selected.view.start_id.filter(|_| !selected.view.cold),
             cold: selected.view.cold,
             health: selected.health,
             started: now,
-            slow_after,
-            shard_service: Arc::clone(shard_service),
+            slow_after: origin.slow_after,
+            shard_service: Arc::clone(origin.shard_service),
+            route: Arc::clone(origin.route),
             pending: true,
-        })
+        };
+        let observer = core.hooks.observer();
+        observer.attempt_started(&reservation.open_attempt());
+        Some(reservation)
     }
 
     /// Sends the subquery and waits for the reply until the attempt's deadline.
@@ -156,6 +172,16 @@
 }
 
 impl<R: Runtime, U, H: Hooks> Reservation<R, U, H> {
+    fn open_attempt(&self) -> hooks::OpenAttempt<'_> {
+        hooks::OpenAttempt {
+            shard_service: &self.shard_service,
+            route: &self.route,
+            version: &self.replica.version,
+            latency: self.core.rt.now().since(self.started),
+            slow_after: (!self.cold).then_some(self.slow_after),
+        }
+    }
+
     fn report_changes(&self, changes: &[health::Change]) {
         for change in changes {
             self.core.handle_change(&self.replica.target.name, change);
@@ -171,6 +197,8 @@
                 self.health
                     .record_abandoned(now, self.started, self.slow_after, self.deadline);
             self.report_changes(changes.as_slice());
+            let observer = self.core.hooks.observer();
+            observer.attempt_abandoned(&self.open_attempt());
         }
     }
 }
--- a/crates/marigoldloom_query/src/hooks.rs
+++ b/crates/marigoldloom_query/src/hooks.rs
@@ -77,6 +77,21 @@
     Retry,
 }
 
+/// An attempt at a subquery without a result: it has just been sent, or it was abandoned.
+#[derive(Clone, Copy, Debug)]
+pub struct OpenAttempt<'a> {
+    /// Name of the replicated service of the shard.
+    pub shard_service: &'a str,
+    /// Name of the route.
+    pub route: &'a str,
+    /// Version of the upstream's software.
+    pub version: &'a str,
+    /// Time since dispatch.
+    pub latency: Duration,
+    /// Latency above which a reply counts as slow; `None` on a cold upstream.
+    pub slow_after: Option<Duration>,
+}
+
 /// An attempt at a subquery that ended with a reply or an error.
 #[derive(Clone, Copy, Debug)]
 pub struct FinishedAttempt<'a> {
@@ -133,7 +148,13 @@
     /// Called when a request has ended.
     fn request_finished(&self, _finished: &FinishedRequest<'_>) {}
 
-    /// Called when an attempt at a subquery has ended. Abandoned attempts are not reported.
+    /// Called before an attempt at a subquery is sent.
+    fn attempt_started(&self, _attempt: &OpenAttempt<'_>) {}
+
+    /// Called when an attempt is abandoned, for example because a hedge was faster.
+    fn attempt_abandoned(&self, _attempt: &OpenAttempt<'_>) {}
+
+    /// Called when an attempt at a subquery has ended. Abandoned attempts are not reported here.
     fn attempt_finished(&self, _attempt: &FinishedAttempt<'_>) {}
 
     /// Called for each decision, e.g. the ejection of an upstream.
@@ -162,6 +183,14 @@
         (**self).request_finished(finished);
     }
 
+    fn attempt_started(&self, attempt: &OpenAttempt<'_>) {
+        (**self).attempt_started(attempt);
+    }
+
+    fn attempt_abandoned(&self, attempt: &OpenAttempt<'_>) {
+        (**self).attempt_abandoned(attempt);
+    }
+
     fn attempt_finished(&self, attempt: &FinishedAttempt<'_>) {
         (**self).attempt_finished(attempt);
     }
--- a/crates/marigoldloom_query/src/shard.rs
+++ b/crates/marigoldloom_query/src/shard.rs
@@ -352,13 +352,8 @@
             0 => Purpose::First,
             _ => Purpose::Retry,
         };
-        let reservation = attempt::Reservation::reserve(
-            self.core,
-            replica,
-            purpose,
-            self.base_hedge_delay(shard),
-            self.shard_service_name(shard),
-        )?;
+        let origin = self.origin(shard, purpose);
+        let reservation = attempt::Reservation::reserve(self.core, replica, origin)?;
         if purpose == Purpose::First {
             self.shards_queried.fetch_add(1, Ordering::Relaxed);
         }
@@ -374,6 +369,15 @@
         Some(reservation)
     }
 
+    fn origin(&self, shard: u32, purpose: Purpose) -> attempt::Origin<'_> {
+        attempt::Origin {
+            purpose,
+            slow_after: self.base_hedge_delay(shard),
+            shard_service: self.shard_service_name(shard),
+            route: &self.request.route,
+        }
+    }
+
     /// Waits before a retry if every replica has been tried. Fails if no retry is allowed.
     async fn back_off(&self, shard: u32, history: &AttemptHistory) -> Result<(), Reason> {
         match history.last_failure {
@@ -412,14 +416,8 @@
             return None;
         }
         let replica = options[chosen].select();
-        let hedge_delay = self.base_hedge_delay(shard);
-        let reservation = attempt::Reservation::reserve(
-            self.core,
-            replica,
-            Purpose::Hedge,
-            hedge_delay,
-            self.shard_service_name(shard),
-        )?;
+        let origin = self.origin(shard, Purpose::Hedge);
+        let reservation = attempt::Reservation::reserve(self.core, replica, origin)?;
         history
             .tried
             .insert(Arc::clone(&reservation.replica.target.name));
--- a/crates/marigoldloom_soak/src/plan.rs
+++ b/crates/marigoldloom_soak/src/plan.rs
@@ -97,10 +97,18 @@
     FailsLater,
     /// All replies are slow.
     Slow,
+    /// Requests fail at the rate that the version gets after the move.
+    FailsUnderLoad,
 }
 
 impl VersionFault {
-    const ALL: [Self; 4] = [Self::None, Self::Fails, Self::FailsLater, Self::Slow];
+    const ALL: [Self; 5] = [
+        Self::None,
+        Self::Fails,
+        Self::FailsLater,
+        Self::Slow,
+        Self::FailsUnderLoad,
+    ];
 
     /// How its replicas behave while it is bad; `None` if it is good.
     pub const fn behaviour(self) -> Option<Behaviour> {
@@ -108,6 +116,7 @@
             Self::None => None,
             Self::Fails | Self::FailsLater => Some(Behaviour::Failing),
             Self::Slow => Some(Behaviour::Slow),
+            Self::FailsUnderLoad => Some(Behaviour::FailingUnderLoad),
         }
     }
 }
--- a/crates/marigoldloom_soak/src/replicas.rs
+++ b/crates/marigoldloom_soak/src/replicas.rs
@@ -1,5 +1,6 @@
 //! The replicas of a run: their endpoints, processes, faults and replacements.
 
+use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -47,6 +48,12 @@
 /// Version to which services are moved.
 const NEW_VERSION: &str = "v2";
 
+/// Number of requests within [`LOAD_TIME`] from which a new version is under load.
+const LOAD_REQUESTS: usize = 3;
+
+/// Time over which the load of a new version is measured.
+const LOAD_TIME: Duration = Duration::from_millis(400);
+
 /// Time after the end of a move's window until its status is read.
 const STATUS_TIME: Duration = Duration::from_secs(2);
 
@@ -79,6 +86,8 @@
     history: History,
     store: Store,
     endpoints: Arc<Mutex<Vec<Arc<Endpoint>>>>,
+    /// Times of the latest requests to new versions, by service.
+    loads: Arc<Mutex<BTreeMap<String, Vec<Duration>>>>,
 }
 
 impl Endpoint {
@@ -124,6 +133,7 @@
             history: history.clone(),
             store: store.clone(),
             endpoints: Arc::default(),
+            loads: Arc::default(),
         };
         for (service, shard, domain) in initial_replicas() {
             replicas.add(service, shard, domain, VERSION, None).await?;
@@ -193,6 +203,12 @@
         let replicas = self.clone();
         let respond = move |request: &ReceivedRequest| {
             let behaviour = *behaviour.lock().unwrap_or_else(PoisonError::into_inner);
+            let behaviour = match behaviour {
+                Behaviour::FailingUnderLoad if !replicas.is_loaded(&replica_identity.service) => {
+                    Behaviour::Sound
+                }
+                behaviour => behaviour,
+            };
             let (run_status, response) =
                 server::respond(&replica_identity, behaviour, work_time(request), request);
             if run_status == server::RunStatus::Run {
@@ -221,6 +237,17 @@
         Ok(())
     }
 
+    /// Counts a request to the new version of `service`. Returns whether it gets them at the rate
+    /// that it has after the move.
+    fn is_loaded(&self, service: &str) -> bool {
+        let now = self.history.now();
+        let mut loads = self.loads.lock().unwrap_or_else(PoisonError::into_inner);
+        let recent = loads.entry(service.to_owned()).or_default();
+        recent.retain(|at| *at + LOAD_TIME > now);
+        recent.push(now);
+        recent.len() >= LOAD_REQUESTS
+    }
+
     fn announcement(&self, endpoint: &Endpoint, identity: &Identity) -> serde_json::Value {
         let (domain, address) = (DOMAINS[endpoint.domain], endpoint.proxy.address());
         let announcement = documents::announcement(&identity.service, domain, address, SLOTS);
--- a/crates/marigoldloom_standin/src/users/documents.rs
+++ b/crates/marigoldloom_standin/src/users/documents.rs
@@ -181,6 +181,8 @@
 GraceS = {grace_s}
 RetryBudgetRatio = 0.2
 RetrySlack = 54
+ExposeShare = 0.1
+ExposeSlack = 20
 BudgetWindowS = 10
 [platform]
 Address = "{store}"
--- a/crates/marigoldloom_standin/src/users/server.rs
+++ b/crates/marigoldloom_standin/src/users/server.rs
@@ -39,6 +39,8 @@
     Slow,
     /// Requests run and are answered with status 500.
     Failing,
+    /// As [`Behaviour::Failing`]. The caller of [`respond`] uses it only under load.
+    FailingUnderLoad,
     /// Requests don't run and are refused with status 503.
     Shedding,
     /// The connection closes in the middle of a response's body.
@@ -112,7 +114,9 @@
             delay: sound.delay * SLOW_FACTOR,
             ..sound
         },
-        Behaviour::Failing => answer("500 Internal Server Error", &headers, b"failed"),
+        Behaviour::Failing | Behaviour::FailingUnderLoad => {
+            answer("500 Internal Server Error", &headers, b"failed")
+        }
         Behaviour::Truncating => ScriptedResponse {
             bytes: sound.bytes[..sound.bytes.len() - body.len() / 2].to_vec(),
             close: true,
