Send nothing to upstreams that leave or want no requests for a time

Change: what an upstream says of itself in its replies (health::notice) is a state of the upstream at this instance, beside ejection and cold start, so that first attempts, hedges, retries and canaries all see it. It belongs to the process: it outlives a record that lapses and returns, and not a restart under the same id or the reuse of the address. When no replica of a shard is willing the shard is left out, or the request is refused at once with the earliest time at which a replica is willing, spread by a quarter.

--- a/crates/marigoldloom_catalog/src/view.rs
+++ b/crates/marigoldloom_catalog/src/view.rs
@@ -191,6 +191,7 @@
             connections: service.map_or(1, |s| s.connections),
             pace,
             usable: state.usable,
+            born: replica.born,
         }
     }
 }
--- a/crates/marigoldloom_front/src/front.rs
+++ b/crates/marigoldloom_front/src/front.rs
@@ -18,7 +18,7 @@
 use marigoldloom_query::refusal::{Kind, Refusal, RunStatus};
 use marigoldloom_query::request::{EarlyAnswer, Policy, Request as Query};
 use marigoldloom_records::class::Class;
-use marigoldloom_runtime::runtime::Runtime;
+use marigoldloom_runtime::runtime::{self, Runtime};
 use marigoldloom_runtime::scope;
 use marigoldloom_runtime::time::{self, Timestamp};
 use marigoldloom_telemetry::metrics::{Metrics, RequestLabels};
@@ -215,7 +215,7 @@
                     None => self.refuse(arrival, &Refusal::not_run(Kind::Unavailable)),
                 }
             }
-            Err(refusal) => self.refuse(arrival, &refusal),
+            Err(refusal) => self.refuse(arrival, &self.with_pause(refusal, &query.service)),
         }
     }
 
@@ -243,9 +243,10 @@
                 let reason = answer.coverage.missing.first().map(|m| m.reason);
                 let refusal = Refusal::not_run(Kind::Unavailable);
                 let reason = reason.unwrap_or(Reason::NoReplica);
-                self.refuse(arrival, &refusal.with_reason(reason, RunStatus::Unknown))
+                let refusal = refusal.with_reason(reason, run_status(&answer));
+                self.refuse(arrival, &self.with_pause(refusal, &query.service))
             }
-            Err(refusal) => self.refuse(arrival, &refusal),
+            Err(refusal) => self.refuse(arrival, &self.with_pause(refusal, &query.service)),
         }
     }
 
@@ -378,11 +379,26 @@
         );
         let pause = match refusal.kind {
             Kind::Quarantined => refusal.retry_after.unwrap_or(RETRY_PAUSE),
+            _ if refusal.reason == Some(Reason::Unwilling) => {
+                refusal.retry_after.unwrap_or(RETRY_PAUSE)
+            }
             _ => refusal.retry_after.unwrap_or(RETRY_PAUSE).min(RETRY_PAUSE),
         };
         self.empty_response(status, pause)
     }
 
+    /// Adds the time after which the upstreams of `service` take requests if they want none now.
+    /// Callers that are refused at the same time get different times, so that they don't return all
+    /// at once.
+    fn with_pause(&self, refusal: Refusal, service: &str) -> Refusal {
+        if refusal.reason != Some(Reason::Unwilling) {
+            return refusal;
+        }
+        let pause = self.shared.engine.pause_of(service).max(RETRY_PAUSE);
+        let spread = pause / 4;
+        refusal.with_retry_after(pause + runtime::backoff(&self.shared.rt, 0, spread, spread))
+    }
+
     fn empty_response(&self, status: StatusCode, pause: Duration) -> Response<Full<Bytes>> {
         let mut response = Response::new(Full::new(Bytes::new()));
         *response.status_mut() = status;
@@ -498,3 +514,12 @@
         (RunStatus::Unknown, _) => StatusCode::BAD_GATEWAY,
     }
 }
+
+/// Whether a query without enough parts may have run on an upstream.
+fn run_status(answer: &Answer) -> RunStatus {
+    let mut missing = answer.coverage.missing.iter();
+    match answer.results.is_empty() && missing.all(|m| m.reason == Reason::Unwilling) {
+        true => RunStatus::NotRun,
+        false => RunStatus::Unknown,
+    }
+}
--- a/crates/marigoldloom_front/src/homes.rs
+++ b/crates/marigoldloom_front/src/homes.rs
@@ -215,6 +215,7 @@
             pace: None,
             connections: MAX_QUERIES,
             usable: true,
+            born: None,
         }
     }
 }
--- a/crates/marigoldloom_query/src/answer.rs
+++ b/crates/marigoldloom_query/src/answer.rs
@@ -64,6 +64,10 @@
     /// All replicas are ejected after repeated failures.
     #[display("all replicas are ejected")]
     Ejected,
+    /// Replicas have said that they leave or want no requests for a time, and no other one can be
+    /// used. The subquery has not run.
+    #[display("the replicas want no requests")]
+    Unwilling,
     /// No replica had capacity for the subquery, or the upstream shed it.
     #[display("no replica had room")]
     Overloaded,
--- a/crates/marigoldloom_query/src/engine.rs
+++ b/crates/marigoldloom_query/src/engine.rs
@@ -215,6 +215,12 @@
         self.core.service(service).budget.attempts()
     }
 
+    /// Returns the time until each shard of `service` has a replica that takes requests, as far as
+    /// its replicas have said; zero if that holds now.
+    pub fn pause_of(&self, service: &str) -> Duration {
+        self.core.pause_of(service)
+    }
+
     /// Returns the health of an upstream as this instance sees it; `None` if the topology doesn't
     /// contain it.
     pub fn health(&self, upstream: &str) -> Option<health::View> {
--- a/crates/marigoldloom_query/src/selection.rs
+++ b/crates/marigoldloom_query/src/selection.rs
@@ -90,7 +90,13 @@
         match candidates.is_empty() {
             true if held => Selection::Unavailable(Reason::NoReplica),
             true => Selection::Unavailable(Reason::SnapshotGone),
-            false if choice::all_ejected(candidates) => Selection::Unavailable(Reason::Ejected),
+            false if choice::all_ejected(candidates) => {
+                let reason = match choice::any_unwilling(candidates) {
+                    true => Reason::Unwilling,
+                    false => Reason::Ejected,
+                };
+                Selection::Unavailable(reason)
+            }
             false => {
                 let freed = views.iter().map(|view| view.health.slot_freed());
                 let reason = if cold {
--- a/crates/marigoldloom_query/src/shard.rs
+++ b/crates/marigoldloom_query/src/shard.rs
@@ -302,6 +302,9 @@
         loop {
             let mut wait_reason = Reason::Overloaded;
             match self.select_replica(shard, history) {
+                Selection::Unavailable(Reason::Unwilling) if history.possible_runs == 0 => {
+                    return Err(Reason::Unwilling);
+                }
                 Selection::Unavailable(reason) => {
                     return Err(history.last_failure.unwrap_or(reason));
                 }
--- a/crates/marigoldloom_query/src/state.rs
+++ b/crates/marigoldloom_query/src/state.rs
@@ -217,6 +217,19 @@
                 let evidence = json!({"start_id": start_id});
                 (event::Kind::Warm, cause.to_owned(), evidence)
             }
+            health::Change::Leaving => {
+                let cause = "it says that it leaves".to_owned();
+                (event::Kind::Unwilling, cause, json!({}))
+            }
+            health::Change::Paused { pause } => {
+                let cause = "it wants no requests for a time".to_owned();
+                let evidence = json!({"pause_ms": time::millis(*pause)});
+                (event::Kind::Unwilling, cause, evidence)
+            }
+            health::Change::Resumed => {
+                let cause = "it replied after the time without requests".to_owned();
+                (event::Kind::Willing, cause, json!({}))
+            }
             health::Change::Warm {
                 successes,
                 after,
@@ -281,6 +294,36 @@
         }
     }
 
+    /// Returns the time until each shard of `service` has a replica that takes requests, as far as
+    /// replicas have said; zero if that holds now.
+    pub(crate) fn pause_of(&self, service: &str) -> Duration {
+        let now = self.rt.now();
+        let topology = self.topology();
+        let view = topology.as_ref().and_then(|t| t.service(service));
+        let snapshot = view.and_then(|v| v.query_snapshot(&v.record.active));
+        let shards = view.zip(snapshot.as_ref()).and_then(|(v, s)| v.shards(s));
+        let Some(shards) = shards else {
+            return Duration::ZERO;
+        };
+        let pauses = (0..shards.total()).filter_map(|shard| {
+            let replicas = shards.replicas(shard).iter();
+            replicas
+                .filter_map(|replica| self.pause_of_replica(replica, now))
+                .min()
+        });
+        pauses.max().unwrap_or_default()
+    }
+
+    /// Returns the time until a replica takes requests; `None` if it leaves or isn't known.
+    fn pause_of_replica(&self, replica: &topology::Replica, now: Timestamp) -> Option<Duration> {
+        let view = self.health.get(&replica.target.name)?.view(now);
+        match view.resumes_at {
+            Some(at) => Some(at.since(now)),
+            None if view.availability == health::Availability::Unwilling => None,
+            None => Some(Duration::ZERO),
+        }
+    }
+
     fn service_of(&self, upstream: &str) -> Arc<str> {
         let topology = self.topology();
         let service = topology.as_ref().and_then(|t| t.service_of(upstream));
--- a/crates/marigoldloom_routing/src/choice.rs
+++ b/crates/marigoldloom_routing/src/choice.rs
@@ -57,7 +57,7 @@
         let share = slots.saturating_mul(REQUESTS_PER_SLOT) / self.senders.max(1);
         let warm = share.max(slots);
         match self.view.availability {
-            health::Availability::AddressReused => 0,
+            health::Availability::AddressReused | health::Availability::Unwilling => 0,
             health::Availability::Cold => self.cold_limit,
             health::Availability::Ejected if self.view.cold => self.cold_limit.min(1),
             // Only used while all replicas of a shard are ejected. One that replied a moment
@@ -139,19 +139,27 @@
     }
 }
 
-/// Returns whether every candidate is ejected and not due for a probe, or unreachable because
-/// another upstream uses its address.
+/// Returns whether every candidate is ejected and not due for a probe, unreachable because another
+/// upstream uses its address, or wants no requests.
 pub fn all_ejected(candidates: &[Candidate<'_>]) -> bool {
     let ejected = |c: &Candidate<'_>| {
         let availability = c.view.availability;
         matches!(
             availability,
-            health::Availability::Ejected | health::Availability::AddressReused
+            health::Availability::Ejected
+                | health::Availability::AddressReused
+                | health::Availability::Unwilling
         )
     };
     candidates.iter().all(ejected)
 }
 
+/// Returns whether any candidate wants no requests.
+pub fn any_unwilling(candidates: &[Candidate<'_>]) -> bool {
+    let mut candidates = candidates.iter();
+    candidates.any(|c| c.view.availability == health::Availability::Unwilling)
+}
+
 /// Chooses a ready candidate, which is all that a hedge may use; none if none is ready.
 pub fn choose_ready(candidates: &[Candidate<'_>], random: impl FnMut() -> u64) -> Option<usize> {
     let ready = matching_indices(candidates, Candidate::is_ready);
--- a/crates/marigoldloom_routing/src/health.rs
+++ b/crates/marigoldloom_routing/src/health.rs
@@ -8,9 +8,11 @@
 use marigoldloom_upstream::{message, upstream};
 
 mod estimate;
+mod notice;
 pub mod table;
 
 use estimate::Estimate;
+use notice::Notice;
 
 /// Consecutive failures, or requests abandoned as slow, after which an upstream is ejected.
 const EJECTION_THRESHOLD: u32 = 3;
@@ -93,6 +95,8 @@
     Ejected,
     /// Another upstream now uses its address, so requests sent there can't reach it.
     AddressReused,
+    /// It has said that it leaves, or that it wants no requests for a time.
+    Unwilling,
 }
 
 /// Why an upstream counts as cold.
@@ -152,6 +156,15 @@
         /// Start id of the process.
         start_id: u64,
     },
+    /// The upstream says that it leaves. It gets no more requests.
+    Leaving,
+    /// The upstream wants no requests from this instance for a time.
+    Paused {
+        /// Length of that time.
+        pause: Duration,
+    },
+    /// The upstream has replied after such a time.
+    Resumed,
 }
 
 /// An upstream's health at one moment.
@@ -179,6 +192,8 @@
     pub reported_load: f64,
     /// Start id of the process that this view describes, if known.
     pub start_id: Option<u64>,
+    /// When it takes requests again after a time without; `None` if it leaves or takes them now.
+    pub resumes_at: Option<Timestamp>,
 }
 
 /// Tracks the health of one upstream.
@@ -213,6 +228,7 @@
     report: Option<(Timestamp, message::Report)>,
     /// Until when no requests are sent because the upstream shed load.
     shed: Timestamp,
+    notice: Notice,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -247,6 +263,7 @@
             last_reply: None,
             report: None,
             shed: Timestamp::ZERO,
+            notice: Notice::default(),
         };
         Self {
             inner: Mutex::new(inner),
@@ -263,6 +280,11 @@
         self.lock().view(now)
     }
 
+    /// Returns whether the upstream wants no requests at `now`.
+    pub fn is_unwilling(&self, now: Timestamp) -> bool {
+        self.lock().notice.is_unwilling(now)
+    }
+
     /// Returns a listener that completes when a slot may have become free for another request.
     pub fn slot_freed(&self) -> event_listener::EventListener {
         self.slot_freed.listen()
@@ -312,8 +334,9 @@
         inner.address_reused = false;
         let readmitted = inner.ejected.take().map(|_| Change::Readmitted);
         let turned_cold = inner.record_report(now, report);
+        let notice = inner.notice.update(now, report);
         let turned_warm = inner.warm_up(now, report, warmup);
-        [readmitted, turned_cold, turned_warm]
+        [readmitted, turned_cold, notice, turned_warm]
             .into_iter()
             .flatten()
             .collect()
@@ -335,6 +358,7 @@
             inner.last_reply = Some(now);
         }
         let reported = error.report().and_then(|r| inner.record_report(now, &r));
+        let notice = error.report().and_then(|r| inner.notice.update(now, &r));
         let may_run = !error.not_run() && !matches!(error, upstream::Error::Failed { .. });
         let (ejected, turned_cold) = match error {
             upstream::Error::Refused { refusal, .. } => (inner.handle_refusal(now, *refusal), None),
@@ -349,7 +373,7 @@
         if may_run {
             inner.keep_slot(now, deadline);
         }
-        [reported, ejected, turned_cold]
+        [reported, notice, ejected, turned_cold]
             .into_iter()
             .flatten()
             .collect()
@@ -437,6 +461,7 @@
                 .is_some_and(|at| now.since(at) < MIN_RESTART_TIME),
             reported_load: self.reported_load(now),
             start_id: self.start_id,
+            resumes_at: self.notice.resumes_at(now),
         }
     }
 
@@ -450,6 +475,7 @@
 
     fn availability(&self, now: Timestamp) -> Availability {
         match (self.ejected, self.cold) {
+            _ if self.notice.is_unwilling(now) => Availability::Unwilling,
             (Some(until), _) if until > now && self.address_reused => Availability::AddressReused,
             (Some(until), _) if until > now || self.probing => Availability::Ejected,
             _ if self.silence(now) >= SILENCE_TIMEOUT => self.silent_availability(now),
@@ -490,6 +516,9 @@
         self.last_reply = Some(now);
         self.report = Some((now, *report));
         let known = self.start_id.replace(report.start_id);
+        if known.is_some_and(|id| id != report.start_id) {
+            self.notice = Notice::default();
+        }
         match known {
             Some(id) if id != report.start_id => self.mark_cold(now, ColdCause::Restarted),
             _ if self.cold.is_none() && report.state == message::State::Cold => {
--- a/crates/marigoldloom_routing/src/topology.rs
+++ b/crates/marigoldloom_routing/src/topology.rs
@@ -68,6 +68,9 @@
     pub pace: Option<Pace>,
     /// Whether it takes new work: it is not leaving, and its failure domain is not out.
     pub usable: bool,
+    /// Start time of the process in wall-clock milliseconds, if it is known. It distinguishes a
+    /// restarted process that kept its name.
+    pub born: Option<u64>,
 }
 
 /// Which replicas of a shard an attempt may use, by their version. The default allows all.
@@ -445,6 +448,7 @@
             pace: None,
             connections: record.connections,
             usable: live && !self.domains_out.contains(&record.domain),
+            born: None,
         })
     }
 }
--- a/crates/marigoldloom_routing/tests/choice.rs
+++ b/crates/marigoldloom_routing/tests/choice.rs
@@ -29,6 +29,7 @@
         pace: None,
         connections: 30,
         usable: true,
+        born: None,
     }
 }
 
--- a/crates/marigoldloom_standin/src/upstream/state.rs
+++ b/crates/marigoldloom_standin/src/upstream/state.rs
@@ -247,6 +247,7 @@
             capacity: faults.capacity.unwrap_or(self.slots),
             start_id: self.start_id,
             state: faults.state.unwrap_or(state),
+            pause_ms: 0,
         }
     }
 
--- a/crates/marigoldloom_standin/src/users/documents.rs
+++ b/crates/marigoldloom_standin/src/users/documents.rs
@@ -116,6 +116,12 @@
     announcement
 }
 
+/// Sets the start time of the process in a replica's announcement, in wall-clock milliseconds.
+pub fn with_born(mut announcement: Value, born: u64) -> Value {
+    announcement["born"] = json!(born);
+    announcement
+}
+
 /// Returns an order to move a service's traffic to `version` within `seconds`.
 pub fn rollout(service: &str, version: &str, seconds: u64) -> Value {
     json!({"Service": service, "TargetVersion": version, "RampS": seconds})
--- a/crates/marigoldloom_telemetry/src/event.rs
+++ b/crates/marigoldloom_telemetry/src/event.rs
@@ -24,6 +24,12 @@
     /// An ejected upstream gets requests again.
     #[display("upstream readmitted")]
     Readmitted,
+    /// An upstream leaves or wants no requests for a time.
+    #[display("upstream unwilling")]
+    Unwilling,
+    /// An upstream takes requests again after a time without.
+    #[display("upstream willing")]
+    Willing,
     /// An upstream is in cold start and gets less load.
     #[display("upstream in cold start")]
     ColdStart,
--- a/crates/marigoldloom_testkit/src/fake_fleet.rs
+++ b/crates/marigoldloom_testkit/src/fake_fleet.rs
@@ -540,6 +540,7 @@
                 true => message::State::Cold,
                 false => message::State::Ready,
             },
+            pause_ms: 0,
         }
     }
 
--- a/crates/marigoldloom_upstream/src/message.rs
+++ b/crates/marigoldloom_upstream/src/message.rs
@@ -94,6 +94,9 @@
     pub start_id: u64,
     /// Whether the process is warm, in cold start or draining.
     pub state: State,
+    /// Time for which the process wants no requests from the recipient, in milliseconds; zero if it
+    /// doesn't say.
+    pub pause_ms: u64,
 }
 
 /// State of an upstream as it reports it.
--- a/crates/marigoldloom_upstream/src/protocol.rs
+++ b/crates/marigoldloom_upstream/src/protocol.rs
@@ -56,6 +56,10 @@
 /// Reply header: `ready`, `cold` or `draining`.
 pub const STATE: &str = "x-state";
 
+/// Header of responses: time for which the upstream wants no requests from the recipient, in
+/// milliseconds; missing if it doesn't say.
+pub const PAUSE: &str = "x-pause-ms";
+
 /// Reply header of a 504: [`NOT_RUN`] if the deadline had passed before the subquery ran.
 pub const RUN_STATUS: &str = "x-run";
 
@@ -238,6 +242,7 @@
         capacity: capacity.unwrap_or_default(),
         start_id: start.unwrap_or_default(),
         state: state.unwrap_or_default(),
+        pause_ms: parse_header(response, PAUSE).unwrap_or_default(),
     })
 }
 
@@ -259,4 +264,8 @@
         .with_header(CAPACITY, &report.capacity.to_string())?
         .with_header(START_ID, &report.start_id.to_string())?
         .with_header(STATE, &report.state.to_string())
+        .and_then(|response| match report.pause_ms {
+            0 => Ok(response),
+            pause => response.with_header(PAUSE, &pause.to_string()),
+        })
 }
--- a/crates/marigoldloom_upstream/tests/client.rs
+++ b/crates/marigoldloom_upstream/tests/client.rs
@@ -21,6 +21,7 @@
     capacity: 6,
     start_id: 77,
     state: message::State::Cold,
+    pause_ms: 250,
 };
 
 /// Runs the commands in the request's body, e.g. `status 429` or `x-shard 5`.
@@ -256,6 +257,7 @@
             capacity: 6,
             start_id: 77,
             state: message::State::Cold,
+            pause_ms: 250,
         };
         assert_eq!(
             (reply.body.as_slice(), reply.report),
