Answer every request that a planned stop has taken

Cause: in a planned stop, requests were taken for 2.8 s and cut at the end of the grace period without an answer if they still ran then, among them requests that may not be repeated. With a route limit of 10 s in a grace period of 6 s, a request of 9 s got no answer whether it came before or after the signal.

Change: from the signal on, a request that may run only once is taken only if its time limit passes before the end; others get 503 at once, which is true, and may be repeated elsewhere. Requests that still run 0.5 s before the end of the grace period are answered with 502. drain.rs decides, apart from input and output.

--- a/crates/marigoldloom_front/src/front.rs
+++ b/crates/marigoldloom_front/src/front.rs
@@ -1,9 +1,11 @@
 //! Routes callers' requests and answers them through the query engine.
 
+use std::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures::future::{self, Either};
 use http::header::HOST;
 use http::{Request, Response, StatusCode, request};
 use http_body_util::{BodyExt, Full, Limited};
@@ -27,6 +29,7 @@
 use xxhash_rust::xxh3;
 
 use crate::dialect::{Caller, Dialect};
+use crate::drain::Drain;
 use crate::exchange::{self, PeerExchange};
 use crate::forward::{self, Forwarded};
 use crate::headers;
@@ -71,6 +74,7 @@
     pub(crate) feed: Arc<Feed>,
     pub(crate) exchange: PeerExchange<R>,
     pub(crate) metrics: Metrics,
+    pub(crate) drain: Drain,
     /// Part of a request's latency objective that is reserved for the time before it is routed and
     /// after it is answered.
     pub(crate) margin: Duration,
@@ -179,7 +183,26 @@
         })
     }
 
+    /// Answers a request, at the end of a planned stop without waiting for its result.
     async fn answer(&self, arrival: &Arrival) -> Response<Full<Bytes>> {
+        let (now, drain) = (self.shared.rt.now(), &self.shared.drain);
+        if !drain.admits(now, time_limit(arrival), arrival.route.idempotent) {
+            return self.refuse(arrival, &Refusal::not_run(Kind::Draining));
+        }
+        let answer = pin::pin!(self.answer_routed(arrival));
+        match future::select(answer, pin::pin!(drain.ended())).await {
+            Either::Left((response, _)) => response,
+            Either::Right(_) => {
+                let refusal = Refusal::not_run(Kind::Draining);
+                self.refuse(
+                    arrival,
+                    &refusal.with_reason(Reason::Lost, RunStatus::Unknown),
+                )
+            }
+        }
+    }
+
+    async fn answer_routed(&self, arrival: &Arrival) -> Response<Full<Bytes>> {
         let route = &*arrival.route;
         match &route.backend {
             Backend::Scatter(scatter) => self.answer_scatter(arrival, scatter).await,
@@ -461,6 +484,12 @@
     }
 }
 
+/// How long a caller may have to wait for its answer.
+fn time_limit(arrival: &Arrival) -> Duration {
+    let limit = arrival.route.timeout;
+    arrival.caller.timeout.unwrap_or(limit).min(limit)
+}
+
 /// Host of a request, from its target or the `Host` header.
 fn host(head: &request::Parts) -> Option<&str> {
     let authority = head.uri.authority().map(http::uri::Authority::as_str);
--- a/crates/marigoldloom_front/src/instance.rs
+++ b/crates/marigoldloom_front/src/instance.rs
@@ -22,7 +22,7 @@
 use marigoldloom_routing::{health, home};
 use marigoldloom_runtime::async_std_runtime::AsyncStd;
 use marigoldloom_runtime::runtime::{self, Runtime};
-use marigoldloom_runtime::time;
+use marigoldloom_runtime::time::{self, Timestamp};
 use marigoldloom_telemetry::log::DroppedLines;
 use marigoldloom_telemetry::metrics::{self, Metrics};
 use marigoldloom_upstream::upstream::Upstream;
@@ -46,6 +46,9 @@
 /// each second and removes the instance after the second failed check.
 const ACCEPT_TIME: Duration = Duration::from_millis(2_800);
 
+/// Part of [`Settings::grace`] before the exit in which requests that still run are answered.
+const ANSWER_MARGIN: Duration = Duration::from_millis(200);
+
 /// Part of [`Settings::grace`] that is reserved for the exit of the process.
 const EXIT_MARGIN: Duration = Duration::from_millis(300);
 
@@ -177,6 +180,7 @@
         feed,
         exchange,
         metrics: metrics.clone(),
+        drain: stop.drain.clone(),
         margin: front::objective_margin(settings.capacity),
     });
     bind(settings.peer_address, front.for_peers(), stop.clone()).await?;
@@ -347,16 +351,28 @@
     }
 }
 
+/// Waits until all connections are closed, at most until `end`.
+async fn await_connections(rt: &impl Runtime, stop: &Stop, end: Timestamp) {
+    while stop.connections() > 0 && rt.now() < end {
+        rt.sleep(STOP_POLL).await;
+    }
+}
+
 /// Fails readiness checks until the load balancer has removed the instance, then waits until all
 /// connections are closed or the grace period ends.
 async fn shut_down(rt: &impl Runtime, settings: &Settings, stop: &Stop) {
+    let end = rt.now() + settings.grace.saturating_sub(EXIT_MARGIN);
+    let last_answers = rt.now() + settings.grace.saturating_sub(EXIT_MARGIN + ANSWER_MARGIN);
+    stop.drain.begin(last_answers);
     stop.closing.cancel();
-    rt.sleep(ACCEPT_TIME).await;
+    rt.sleep(ACCEPT_TIME.min(settings.grace / 2)).await;
     stop.stopped.cancel();
-    let rest = settings.grace.saturating_sub(ACCEPT_TIME + EXIT_MARGIN);
-    let end = rt.now() + rest;
-    while stop.connections() > 0 && rt.now() < end {
-        rt.sleep(STOP_POLL).await;
+    await_connections(rt, stop, last_answers).await;
+    let cut = stop.connections();
+    stop.drain.finish();
+    await_connections(rt, stop, end).await;
+    if cut > 0 {
+        tracing::warn!(connections = cut, "requests ended by the stop");
     }
     tracing::info!(connections = stop.connections(), "stopped");
 }
--- a/crates/marigoldloom_front/src/lib.rs
+++ b/crates/marigoldloom_front/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod connection;
 mod decisions;
 pub mod dialect;
+mod drain;
 mod endpoints;
 mod exchange;
 mod forward;
--- a/crates/marigoldloom_front/src/listener.rs
+++ b/crates/marigoldloom_front/src/listener.rs
@@ -22,6 +22,8 @@
 use marigoldloom_runtime::scope::Scope;
 use smol_hyper::rt::FuturesIo;
 
+use crate::drain::Drain;
+
 /// Pause after a failed accept, e.g. when the process has no free file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
@@ -47,6 +49,8 @@
     pub closing: Scope,
     /// Once cancelled, no connections are accepted and idle ones are closed.
     pub stopped: Scope,
+    /// Which requests are taken meanwhile, and when the last ones end.
+    pub drain: Drain,
     open: Arc<AtomicUsize>,
 }
 
