Check that an upstream is willing when a connection is free

Cause: a request that was assigned to an upstream and waited for a connection was sent after the upstream had said that it leaves.

Change: the check is repeated at the moment of sending, through Upstream::send. Such a request has not run; it goes to another upstream without taking from the retry budget.

--- a/crates/marigoldloom_bench/src/naive.rs
+++ b/crates/marigoldloom_bench/src/naive.rs
@@ -105,7 +105,7 @@
                 idempotency_key: None,
                 start_id: None,
             };
-            let send = upstream::Upstream::send(&self.fleet, &replica.target, &subquery);
+            let send = upstream::Upstream::send(&self.fleet, &replica.target, &subquery, || true);
             let limit = timeout / u32::try_from(ATTEMPTS).unwrap_or(1);
             if let Ok(Ok(reply)) = runtime::timeout(&self.rt, limit, send).await {
                 return Some(reply.body);
--- a/crates/marigoldloom_capacity/src/connections.rs
+++ b/crates/marigoldloom_capacity/src/connections.rs
@@ -53,7 +53,7 @@
     let mut answered = 0;
     for (shard, upstream) in (0..).zip(&upstreams) {
         let (target, subquery) = (target(shard, upstream), subquery(&rt, shard));
-        answered += usize::from(client.send(&target, &subquery).await.is_ok());
+        answered += usize::from(client.send(&target, &subquery, || true).await.is_ok());
     }
     (heap.bytes(), answered)
 }
--- a/crates/marigoldloom_capacity/src/engine.rs
+++ b/crates/marigoldloom_capacity/src/engine.rs
@@ -183,7 +183,7 @@
             let sends = targets.iter().map(|(shard, target)| {
                 let subquery = subquery(&request, *shard, &snapshot);
                 let fleet = &fleet;
-                async move { fleet.send(target, &subquery).await.is_ok() }
+                async move { fleet.send(target, &subquery, || true).await.is_ok() }
             });
             future::join_all(sends).await;
         });
--- a/crates/marigoldloom_daemon/tests/version_moves.rs
+++ b/crates/marigoldloom_daemon/tests/version_moves.rs
@@ -92,6 +92,7 @@
     };
     Some(View {
         start_id: None,
+        resumes_at: None,
         in_flight: 0,
         latency: Duration::ZERO,
         silence: Duration::ZERO,
--- a/crates/marigoldloom_front/src/client.rs
+++ b/crates/marigoldloom_front/src/client.rs
@@ -134,11 +134,16 @@
         pools.get(target).cloned()
     }
 
-    async fn exchange(&self, target: &Target, subquery: &Subquery) -> Result<Reply, Error> {
+    async fn exchange(
+        &self,
+        target: &Target,
+        subquery: &Subquery,
+        admit: impl Fn() -> bool + Send + Sync,
+    ) -> Result<Reply, Error> {
         let call = subquery.call.as_ref().ok_or(Error::Unreachable)?;
         let pool = self.find_pool(target).ok_or(Error::Unreachable)?;
         let left = || subquery.deadline.since(self.rt.now());
-        let request = || self.build_request(target, subquery, call, left());
+        let request = || admit().then(|| self.build_request(target, subquery, call, left()));
         let sent = connection::send(&pool, left, request).await;
         let reply = match sent {
             Ok((response, lease)) => {
@@ -205,8 +210,13 @@
 }
 
 impl<R: Runtime, D: Dialect> upstream::Upstream for Client<R, D> {
-    async fn send(&self, target: &Target, subquery: &Subquery) -> Result<Reply, Error> {
-        self.exchange(target, subquery).await
+    async fn send(
+        &self,
+        target: &Target,
+        subquery: &Subquery,
+        admit: impl Fn() -> bool + Send + Sync,
+    ) -> Result<Reply, Error> {
+        self.exchange(target, subquery, admit).await
     }
 }
 
--- a/crates/marigoldloom_front/src/connection.rs
+++ b/crates/marigoldloom_front/src/connection.rs
@@ -61,8 +61,8 @@
     request
 }
 
-/// Sends a request on a connection of `pool`; `left` returns the time until its deadline. The
-/// connection is closed unless the caller returns it to the pool. Dropping the future also
+/// Sends a request on a connection of `pool`; `left` returns the time until its deadline, `request`
+/// the request, or `None` if it must not be sent any more. The connection is closed unless the caller returns it to the pool. Dropping the future also
 /// closes it.
 ///
 /// # Errors
@@ -71,7 +71,7 @@
 pub(crate) async fn send(
     pool: &pool::Pool<Connection>,
     left: impl Fn() -> Duration,
-    request: impl Fn() -> Request<Full<Bytes>>,
+    request: impl Fn() -> Option<Request<Full<Bytes>>>,
 ) -> Result<(Response<Incoming>, pool::Lease<Connection>), Error> {
     for _ in 0..STALE_LIMIT {
         let lease = pool.lease(left().saturating_sub(UNSENT_MARGIN)).await;
@@ -87,7 +87,11 @@
         if !matches!(ready, Ok(Ok(()))) {
             continue;
         }
-        match lease.connection().sender.try_send_request(request()).await {
+        let Some(request) = request() else {
+            lease.return_to_pool();
+            return Err(refused(Refusal::Withheld));
+        };
+        match lease.connection().sender.try_send_request(request).await {
             Ok(response) => return Ok((response, lease)),
             Err(mut error) => {
                 // hyper returns the request only if no byte of it was sent.
--- a/crates/marigoldloom_front/src/peer_client.rs
+++ b/crates/marigoldloom_front/src/peer_client.rs
@@ -78,7 +78,9 @@
         request: impl Fn() -> Request<Full<Bytes>>,
     ) -> Option<(StatusCode, Bytes)> {
         let pool = self.pool(address);
-        let (response, lease) = connection::send(&pool, || limit, request).await.ok()?;
+        let (response, lease) = connection::send(&pool, || limit, || Some(request()))
+            .await
+            .ok()?;
         let (head, body) = response.into_parts();
         let body = Limited::new(body, self.max_body).collect().await.ok()?;
         lease.return_to_pool();
--- a/crates/marigoldloom_query/src/answer.rs
+++ b/crates/marigoldloom_query/src/answer.rs
@@ -114,6 +114,7 @@
     fn from(refusal: upstream::Refusal) -> Self {
         match refusal {
             upstream::Refusal::Shed => Self::Overloaded,
+            upstream::Refusal::Withheld => Self::Unwilling,
             upstream::Refusal::Draining | upstream::Refusal::Misdirected => Self::NoReplica,
             upstream::Refusal::SnapshotGone => Self::SnapshotGone,
             upstream::Refusal::ShardGone => Self::ShardGone,
--- a/crates/marigoldloom_query/src/attempt.rs
+++ b/crates/marigoldloom_query/src/attempt.rs
@@ -121,7 +121,9 @@
         run_counter: Arc<RunCounter>,
     ) -> Result<message::Reply, upstream::Error> {
         subquery.deadline = self.deadline;
-        let reply = self.core.upstream.send(&self.replica.target, &subquery);
+        let admit = || !self.health.is_unwilling(self.core.rt.now());
+        let upstream = &self.core.upstream;
+        let reply = upstream.send(&self.replica.target, &subquery, admit);
         let reply = runtime::timeout_at(&self.core.rt, self.deadline, reply).await;
         let result = reply.unwrap_or(Err(upstream::Error::TimedOut));
         if result.as_ref().is_err_and(upstream::Error::not_run) {
--- a/crates/marigoldloom_query/src/shard.rs
+++ b/crates/marigoldloom_query/src/shard.rs
@@ -297,7 +297,10 @@
         history: &mut AttemptHistory,
     ) -> Result<attempt::Reservation<R, U, H>, Reason> {
         // An attempt that was never sent caused no load, so the next one needs no retry budget.
-        let mut budgeted = history.count == 0 || history.last_failure == Some(Reason::Unreachable);
+        let mut budgeted = matches!(
+            (history.count, history.last_failure),
+            (0, _) | (_, Some(Reason::Unreachable | Reason::Unwilling))
+        );
         self.back_off(shard, history).await?;
         loop {
             let mut wait_reason = Reason::Overloaded;
--- a/crates/marigoldloom_query/tests/support/tier.rs
+++ b/crates/marigoldloom_query/tests/support/tier.rs
@@ -42,12 +42,13 @@
         &self,
         target: &upstream::Target,
         subquery: &message::Subquery,
+        _admit: impl Fn() -> bool + Send + Sync,
     ) -> Result<message::Reply, upstream::Error> {
         let (mut tx, rx) = oneshot::channel();
         let (fleet, target, subquery) = (self.fleet.clone(), target.clone(), subquery.clone());
         let rt = self.rt.clone();
         self.rt.spawn(async move {
-            let run = Box::pin(fleet.send(&target, &subquery));
+            let run = Box::pin(fleet.send(&target, &subquery, || true));
             let run = Box::pin(runtime::timeout_at(&rt, subquery.deadline, run));
             let ended = match future::select(run, tx.cancellation()).await {
                 future::Either::Left((result, _)) => result,
--- a/crates/marigoldloom_routing/src/health.rs
+++ b/crates/marigoldloom_routing/src/health.rs
@@ -580,6 +580,7 @@
             upstream::Refusal::SnapshotGone
             | upstream::Refusal::ShardGone
             | upstream::Refusal::Expired
+            | upstream::Refusal::Withheld
             | upstream::Refusal::Restarted => {}
         }
         None
--- a/crates/marigoldloom_routing/tests/choice.rs
+++ b/crates/marigoldloom_routing/tests/choice.rs
@@ -53,6 +53,7 @@
             silence: Duration::ZERO,
             failure_rate: 0.0,
             start_id: None,
+            resumes_at: None,
             in_flight: 0,
             latency: Duration::from_millis(latency),
             availability,
--- a/crates/marigoldloom_standin/tests/upstream.rs
+++ b/crates/marigoldloom_standin/tests/upstream.rs
@@ -98,7 +98,7 @@
 
     async fn send(&self, id: u128, text: &str) -> Result<message::Reply, Error> {
         let subquery = self.subquery(id, text);
-        self.client.send(&self.target, &subquery).await
+        self.client.send(&self.target, &subquery, || true).await
     }
 
     /// Waits until the stand-in accepts connections (`open`) or refuses them.
@@ -351,7 +351,7 @@
             until(|| fixture.standin.running() == 2).await;
             let mut queued = fixture.subquery(2, "q");
             queued.deadline = fixture.rt.now() + DEADLINE / 6;
-            fixture.client.send(&fixture.target, &queued).await
+            fixture.client.send(&fixture.target, &queued, || true).await
         };
         let (ran, queued) = future::join(fixture.burst(2), queued).await;
         assert_eq!(count(&ran, |e| *e == Error::TimedOut), 2, "{ran:?}");
@@ -382,7 +382,7 @@
             subquery.idempotency_key = Some(key.into());
             fixture
                 .client
-                .send(&fixture.target, &subquery)
+                .send(&fixture.target, &subquery, || true)
                 .await
                 .unwrap();
         }
--- a/crates/marigoldloom_testkit/src/fake_fleet.rs
+++ b/crates/marigoldloom_testkit/src/fake_fleet.rs
@@ -596,6 +596,7 @@
         &self,
         target: &upstream::Target,
         subquery: &message::Subquery,
+        _admit: impl Fn() -> bool + Send + Sync,
     ) -> Result<message::Reply, upstream::Error> {
         let name = &target.name;
         let process = self.connect(name, subquery.start_id.is_some()).await?;
--- a/crates/marigoldloom_upstream/src/client.rs
+++ b/crates/marigoldloom_upstream/src/client.rs
@@ -191,6 +191,7 @@
         &self,
         target: &upstream::Target,
         subquery: &message::Subquery,
+        admit: impl Fn() -> bool + Send + Sync,
     ) -> Result<message::Reply, upstream::Error> {
         let pool = self.pool(target);
         loop {
@@ -199,7 +200,12 @@
                 pool::Error::TimedOut => expired(),
                 pool::Error::Unreachable => upstream::Error::Unreachable,
             })?;
-            let result = match self.verify_process(&mut lease, subquery).await {
+            let verified = self.verify_process(&mut lease, subquery).await;
+            let result = match verified {
+                Ok(()) if !admit() => Err(Failure::Final(upstream::Error::Refused {
+                    refusal: upstream::Refusal::Withheld,
+                    report: None,
+                })),
                 Ok(()) => self.attempt(&pool, &mut lease, subquery).await,
                 Err(failure) => Err(failure),
             };
@@ -207,7 +213,7 @@
                 Ok(response) => response,
                 Err(Failure::Stale) => continue,
                 Err(Failure::Final(error)) => {
-                    if is_restarted(&error) {
+                    if is_unsent(&error) {
                         lease.return_to_pool();
                     }
                     return Err(error);
@@ -225,11 +231,12 @@
     }
 }
 
-const fn is_restarted(error: &upstream::Error) -> bool {
+/// Whether the connection is still unused.
+const fn is_unsent(error: &upstream::Error) -> bool {
     matches!(
         error,
         upstream::Error::Refused {
-            refusal: upstream::Refusal::Restarted,
+            refusal: upstream::Refusal::Restarted | upstream::Refusal::Withheld,
             ..
         }
     )
--- a/crates/marigoldloom_upstream/src/upstream.rs
+++ b/crates/marigoldloom_upstream/src/upstream.rs
@@ -78,6 +78,9 @@
     /// The address belongs to another upstream now.
     #[display("another upstream has the address")]
     Misdirected,
+    /// The upstream said that it wants no requests after the subquery was assigned to it.
+    #[display("the upstream wants no requests")]
+    Withheld,
     /// The process at the address has another start id than the subquery names; this was
     /// detected before the subquery was sent.
     #[display("another process runs there")]
@@ -119,7 +122,8 @@
 /// Sends subqueries to upstreams. Dropping the future cancels the subquery, and a
 /// connection with an outstanding response is never reused.
 pub trait Upstream: Clone + Send + Sync + 'static {
-    /// Runs one subquery on `target` within the subquery's deadline.
+    /// Runs one subquery on `target` within the subquery's deadline. `admit` returns whether it may
+    /// still be sent; it is called when a connection is free.
     ///
     /// If the subquery names a start id, it is sent only on a connection on which a process
     /// with that id has answered. The connection ends with the process, so a restarted
@@ -128,5 +132,6 @@
         &self,
         target: &Target,
         subquery: &message::Subquery,
+        admit: impl Fn() -> bool + Send + Sync,
     ) -> impl Future<Output = Result<message::Reply, Error>> + Send;
 }
--- a/crates/marigoldloom_upstream/tests/client.rs
+++ b/crates/marigoldloom_upstream/tests/client.rs
@@ -144,7 +144,7 @@
 
     async fn send(&self, id: u128, body: &str) -> Result<message::Reply, Error> {
         self.client
-            .send(&self.target, &self.subquery(id, body))
+            .send(&self.target, &self.subquery(id, body), || true)
             .await
     }
 }
@@ -325,7 +325,7 @@
         });
         let sent = subqueries
             .iter()
-            .map(|subquery| fixture.client.send(&fixture.target, subquery));
+            .map(|subquery| fixture.client.send(&fixture.target, subquery, || true));
         let results = combinators::join_all(sent).await;
         let (first, second) = (results[0].clone(), results[1].clone());
         assert_eq!(first, Err(Error::TimedOut));
@@ -366,7 +366,10 @@
     let send = async |id, start| {
         let mut subquery = fixture.subquery(id, "");
         subquery.start_id = start;
-        fixture.client.send(&fixture.target, &subquery).await
+        fixture
+            .client
+            .send(&fixture.target, &subquery, || true)
+            .await
     };
     let restarted = Error::Refused {
         refusal: Refusal::Restarted,
