--- a/crates/marigoldloom_front/src/decisions.rs
+++ b/crates/marigoldloom_front/src/decisions.rs
@@ -124,6 +124,7 @@
     }
 
     fn decision_made(&self, decision: &Decision<'_>) {
+        self.metrics.record_decision(decision.kind);
         tracing::info!(
             kind = %decision.kind,
             subject = decision.subject,
--- a/crates/marigoldloom_telemetry/src/metrics.rs
+++ b/crates/marigoldloom_telemetry/src/metrics.rs
@@ -12,6 +12,8 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::Encoder;
 
+use crate::event;
+
 /// Latency bucket bounds, in seconds. They are denser around the target of 280 ms.
 const LATENCY_BOUNDS: [f64; 18] = [
     0.001, 0.002, 0.005, 0.01, 0.02, 0.03, 0.05, 0.075, 0.1, 0.15, 0.2, 0.24, 0.28, 0.35, 0.5, 1.0,
@@ -65,6 +67,7 @@
     latency: Histogram<f64>,
     coverage: Histogram<f64>,
     subqueries: Counter<u64>,
+    decisions: Counter<u64>,
     control_bytes: Counter<u64>,
     running: UpDownCounter<i64>,
     tenants: Mutex<BTreeSet<String>>,
@@ -100,6 +103,10 @@
                 .u64_counter("marigoldloom_subqueries")
                 .with_description("Subqueries sent to upstreams")
                 .build(),
+            decisions: meter
+                .u64_counter("marigoldloom_decisions")
+                .with_description("Decisions, such as changes of an upstream's availability")
+                .build(),
             control_bytes: meter
                 .u64_counter("marigoldloom_control_bytes")
                 .with_description("Bytes of control messages between instances")
@@ -154,6 +161,12 @@
         self.inner.subqueries.add(1, &labels);
     }
 
+    /// Counts a decision.
+    pub fn record_decision(&self, kind: event::Kind) {
+        let labels = [KeyValue::new("kind", kind.to_string())];
+        self.inner.decisions.add(1, &labels);
+    }
+
     /// Counts bytes of control messages; `direction` is `sent` or `received`.
     pub fn add_control_bytes(&self, direction: &'static str, bytes: u64) {
         let labels = [KeyValue::new("direction", direction)];
