--- a/crates/marigoldloom_standin/src/bin/platform.rs
+++ b/crates/marigoldloom_standin/src/bin/platform.rs
@@ -44,7 +44,10 @@
 }
 
 fn main() -> ExitCode {
-    tracing_subscriber::fmt().with_writer(io::stderr).init();
+    tracing_subscriber::fmt()
+        .with_ansi(io::IsTerminal::is_terminal(&io::stderr()))
+        .with_writer(io::stderr)
+        .init();
     match parse(Parser::from_env()).and_then(run) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
--- a/crates/marigoldloom_standin/src/bin/upstream.rs
+++ b/crates/marigoldloom_standin/src/bin/upstream.rs
@@ -49,7 +49,10 @@
 }
 
 fn main() -> ExitCode {
-    tracing_subscriber::fmt().with_writer(io::stderr).init();
+    tracing_subscriber::fmt()
+        .with_ansi(io::IsTerminal::is_terminal(&io::stderr()))
+        .with_writer(io::stderr)
+        .init();
     match parse().and_then(run) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
