--- /dev/null
+++ b/review/support/cases/drain.rs
@@ -0,0 +1,131 @@
+//! Requests that wait for a connection to a slow replica are sent to it although it drains meanwhile.
+
+use super::*;
+
+const LIMIT: Duration = Duration::from_millis(6_000);
+
+/// Factor on the time of a run while the replicas are slow, in percent, and for how long they are.
+const SLOW: u32 = 1_200;
+const SLOW_TIME: Duration = Duration::from_secs(8);
+
+/// Time from the start of that until one replica reports that it drains.
+const DRAIN_AFTER: Duration = Duration::from_millis(1_800);
+
+/// Number of replicas, and of requests a second.
+const REPLICAS: usize = 6;
+const RATE: u64 = 70;
+
+/// Number of machines that clients reach: those of the zone `riga-a`.
+const MACHINES: usize = 3;
+
+pub(super) fn drain(site: &Site, trouble: bool) -> Option<Vec<String>> {
+    let zones = [
+        "riga-a",
+        "riga-a",
+        "riga-a",
+        "liepaja-a",
+        "liepaja-a",
+        "daugavpils-a",
+        "daugavpils-a",
+    ];
+    let replicas: Vec<_> = (0..REPLICAS)
+        .map(|number| {
+            let settings = Settings {
+                name: format!("i-{number}"),
+                service: "huvo11a".to_owned(),
+                zone: zones[number * 2 % 7].to_owned(),
+                ip: site.ip(),
+                slots: 3,
+                queue: 18,
+                connections: 31,
+                work: Duration::from_millis(220),
+                body: 208,
+            };
+            site.replica(settings, "500 Internal Server Error")
+        })
+        .collect();
+    let route = route_text(
+        "r-replay",
+        "/timi402/",
+        "non_idempotent",
+        6_000,
+        "\"Service\":\"huvo11a\"",
+    );
+    site.store.put(
+        "config",
+        "main",
+        config_text(7, &[route], &[("huvo11a", 31)]),
+    );
+    let fronts = site.start_edges(&zones, &DZL)?;
+    thread::sleep(LEAD);
+    site.log.note("traffic starts");
+    let stop = Arc::new(AtomicBool::new(false));
+    // Open loop: a new caller for each request.
+    let (log, own) = (site.log.clone(), Arc::clone(&stop));
+    let starter = thread::spawn(move || {
+        let mut number = 0_u64;
+        let start = Instant::now();
+        while !own.load(Ordering::SeqCst) {
+            number += 1;
+            let machine = number as usize % MACHINES;
+            let mut caller = Caller::new(fronts[machine], &log, &format!("client-{machine}"));
+            thread::spawn(move || {
+                caller.send(&Attempt::new("POST", "/timi402/2f", "session=4", LIMIT));
+            });
+            let due = start + Duration::from_micros(1_000_000 * number / RATE);
+            thread::sleep(due.saturating_duration_since(Instant::now()));
+        }
+    });
+    thread::sleep(Duration::from_secs(3));
+    site.log.note("the replicas turn slow");
+    for replica in &replicas {
+        replica
+            .faults
+            .slow
+            .store(if trouble { SLOW } else { 0 }, Ordering::SeqCst);
+    }
+    thread::sleep(DRAIN_AFTER);
+    let leaving = &replicas[0];
+    let text = entry_text(
+        leaving.settings(),
+        &leaving.address().to_string(),
+        "draining",
+    );
+    let acknowledged = site.store.put("servers", &leaving.id(), text);
+    site.log.note(format!(
+        "the store has accepted that {} drains",
+        leaving.id()
+    ));
+    thread::sleep(SLOW_TIME - DRAIN_AFTER);
+    site.log.note("the replicas are no longer slow");
+    for replica in &replicas {
+        replica.faults.slow.store(0, Ordering::SeqCst);
+    }
+    thread::sleep(Duration::from_secs(6));
+    stop.store(true, Ordering::SeqCst);
+    let _ = starter.join();
+    thread::sleep(LIMIT);
+    let limit = acknowledged + Duration::from_millis(u64::from(DZL.drain_ms));
+    let events = site.log.events();
+    let arrivals = events
+        .iter()
+        .filter(|e| e.who == leaving.id() && e.what == What::Arrived);
+    let late = arrivals.clone().filter(|e| e.at > limit);
+    let after = arrivals
+        .filter(|e| e.at > acknowledged)
+        .map(|e| e.at - acknowledged)
+        .max();
+    site.log
+        .note(format!("last arrival after the acknowledgement: {after:?}"));
+    Some(
+        late.map(|e| {
+            format!(
+                "DRAIN: attempt {} reached {} {:?} after the acknowledgement",
+                e.id,
+                e.who,
+                e.at - acknowledged
+            )
+        })
+        .collect(),
+    )
+}
