Send a request at most once on each connection to an upstream

Cause: an upstream that refuses a request may send the refusal a second time, late. The client matches an answer to a request by the id that the upstream echoes. When every replica has refused an attempt, the attempt goes to the first one again, mostly on the connection that carried it before. The late copy bears the same id, so it was taken for the answer to the second send, while the upstream ran the request. The engine then believed that nothing had run: it sent the attempt a further time, or answered 503.

Splitting the copy around the next request does no harm: the first half arrives while the connection is idle, which closes it.

Change: a connection remembers the requests that it carried until their deadlines have passed, and the pool takes an idle connection only if it hasn't carried the request. An id is then unique among the sends on a connection, so every second copy has another id than the answer that is expected. Closing the connection after each refusal would do too, but opens connections to upstreams that are full.

Other paths: subqueries of the product's own upstream protocol have an id for each send. Forwarded queries use the same connections and are covered. The control messages of instances are sent once each.

--- a/crates/marigoldloom_front/src/client.rs
+++ b/crates/marigoldloom_front/src/client.rs
@@ -144,7 +144,7 @@
         let pool = self.find_pool(target).ok_or(Error::Unreachable)?;
         let left = || subquery.deadline.since(self.rt.now());
         let request = || admit().then(|| self.build_request(target, subquery, call, left()));
-        let sent = connection::send(&pool, left, request).await;
+        let sent = connection::send(&pool, Some(&subquery.request.0), left, request).await;
         let reply = match sent {
             Ok((response, lease)) => {
                 let (reply, reusable) = self.read_response(subquery, response).await;
--- a/crates/marigoldloom_front/src/connection.rs
+++ b/crates/marigoldloom_front/src/connection.rs
@@ -14,6 +14,8 @@
 use marigoldloom_upstream::upstream::{Error, Refusal};
 use smol_hyper::rt::FuturesIo;
 
+use crate::sent_requests::SentRequests;
+
 /// Largest number of closed connections that a request may take from the pool before it fails.
 const STALE_LIMIT: u32 = 4;
 
@@ -27,6 +29,7 @@
 /// An HTTP/1.1 client connection of hyper.
 pub struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
+    sent: SentRequests,
 }
 
 impl pool::Reusable for Connection {
@@ -44,7 +47,10 @@
                 tracing::debug!(%address, %error, "connection ended");
             }
         });
-        Ok(Self { sender })
+        Ok(Self {
+            sender,
+            sent: SentRequests::default(),
+        })
     }
 
     fn is_usable(&self) -> bool {
@@ -61,20 +67,23 @@
     request
 }
 
-/// Sends a request on a connection of `pool`; `left` returns the time until its deadline, `request`
-/// the request, or `None` if it must not be sent any more. The connection is closed unless the caller returns it to the pool. Dropping the future also
-/// closes it.
+/// Sends a request on a connection of `pool` that hasn't carried its `id` before. `left` returns the
+/// time until its deadline, `request` the request, or `None` if it must not be sent any more. The
+/// connection is closed unless the caller returns it to the pool. Dropping the future also closes it.
 ///
 /// # Errors
 ///
 /// [`Error::Unreachable`] or [`Error::Refused`] if no byte was sent, [`Error::Lost`] otherwise.
 pub(crate) async fn send(
     pool: &pool::Pool<Connection>,
+    id: Option<&str>,
     left: impl Fn() -> Duration,
     request: impl Fn() -> Option<Request<Full<Bytes>>>,
 ) -> Result<(Response<Incoming>, pool::Lease<Connection>), Error> {
     for _ in 0..STALE_LIMIT {
-        let lease = pool.lease(left().saturating_sub(UNSENT_MARGIN)).await;
+        let limit = left().saturating_sub(UNSENT_MARGIN);
+        let unused = |c: &Connection| id.is_none_or(|id| !c.sent.contains(id));
+        let lease = pool.lease_where(limit, unused).await;
         let mut lease = lease.map_err(|error| match error {
             pool::Error::TimedOut => refused(Refusal::Expired),
             pool::Error::Unreachable => Error::Unreachable,
@@ -91,7 +100,11 @@
             lease.return_to_pool();
             return Err(refused(Refusal::Withheld));
         };
-        match lease.connection().sender.try_send_request(request).await {
+        let connection = lease.connection();
+        if let Some(id) = id {
+            connection.sent.record(id, left());
+        }
+        match connection.sender.try_send_request(request).await {
             Ok(response) => return Ok((response, lease)),
             Err(mut error) => {
                 // hyper returns the request only if no byte of it was sent.
--- a/crates/marigoldloom_front/src/forward.rs
+++ b/crates/marigoldloom_front/src/forward.rs
@@ -184,7 +184,8 @@
         request
     };
     let left = || query.deadline.since(rt.now());
-    let (response, lease) = connection::send(&peer.pool, left, || Some(request())).await?;
+    let (response, lease) =
+        connection::send(&peer.pool, Some(query.id), left, || Some(request())).await?;
     let (mut head, body) = response.into_parts();
     let reusable = !headers::has_connection_close(&head.headers);
     headers::remove_hop_by_hop(&mut head.headers);
--- a/crates/marigoldloom_front/src/lib.rs
+++ b/crates/marigoldloom_front/src/lib.rs
@@ -24,5 +24,6 @@
 mod peer_client;
 mod records;
 mod rejection;
+mod sent_requests;
 mod sharing;
 mod strikes;
--- a/crates/marigoldloom_front/src/peer_client.rs
+++ b/crates/marigoldloom_front/src/peer_client.rs
@@ -78,7 +78,8 @@
         request: impl Fn() -> Request<Full<Bytes>>,
     ) -> Option<(StatusCode, Bytes)> {
         let pool = self.pool(address);
-        let (response, lease) = connection::send(&pool, || limit, || Some(request()))
+        // Messages have no ids: each one is sent once and has one response.
+        let (response, lease) = connection::send(&pool, None, || limit, || Some(request()))
             .await
             .ok()?;
         let (head, body) = response.into_parts();
--- a/crates/marigoldloom_http/src/pool.rs
+++ b/crates/marigoldloom_http/src/pool.rs
@@ -187,11 +187,24 @@
     ///
     /// [`Error`] if there is no connection in time.
     pub async fn lease(&self, limit: Duration) -> Result<Lease<C>, Error> {
+        self.lease_where(limit, |_| true).await
+    }
+
+    /// Like [`Pool::lease`], but takes an idle connection only if `accepts` returns true for it.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if there is no connection in time.
+    pub async fn lease_where(
+        &self,
+        limit: Duration,
+        accepts: impl Fn(&C) -> bool,
+    ) -> Result<Lease<C>, Error> {
         let deadline = Instant::now() + limit;
         let permit = self.acquire(limit).await?;
-        let ((connection, start_id), reused) = match self.take_idle() {
+        let ((connection, start_id), reused) = match self.take_idle(&accepts) {
             Some(idle) => (idle, true),
-            None => self.open(deadline).await?,
+            None => self.open(deadline, &accepts).await?,
         };
         Ok(Lease {
             connection,
@@ -230,13 +243,19 @@
 
     /// Opens a connection, or takes one that became idle meanwhile. Also returns whether it
     /// was used before.
-    async fn open(&self, deadline: Instant) -> Result<(IdentifiedConnection<C>, bool), Error> {
+    async fn open(
+        &self,
+        deadline: Instant,
+        accepts: impl Fn(&C) -> bool,
+    ) -> Result<(IdentifiedConnection<C>, bool), Error> {
         let _gate = self.await_opening(deadline).await?;
         // Another request may have returned its connection during the wait.
-        match self.take_idle() {
-            Some(idle) => Ok((idle, true)),
-            None => Ok(((self.connect(deadline).await?, None), false)),
+        if let Some(idle) = self.take_idle(accepts) {
+            return Ok((idle, true));
         }
+        // The new connection takes the place of an idle one that isn't accepted.
+        self.trim_idle();
+        Ok(((self.connect(deadline).await?, None), false))
     }
 
     /// Waits until fewer than [`Settings::max_opening`] connections are being opened.
@@ -259,16 +278,15 @@
         }
     }
 
-    /// Takes the most recently used connection, so that unneeded ones reach their idle timeout.
-    fn take_idle(&self) -> Option<IdentifiedConnection<C>> {
+    /// Takes the most recently used connection that `accepts` returns true for, so that unneeded
+    /// ones reach their idle timeout.
+    fn take_idle(&self, accepts: impl Fn(&C) -> bool) -> Option<IdentifiedConnection<C>> {
         let mut idle = self.shared.idle();
         self.drop_expired(&mut idle);
-        while let Some(entry) = idle.pop_back() {
-            if entry.connection.is_usable() {
-                return Some((entry.connection, entry.start_id));
-            }
-        }
-        None
+        idle.retain(|entry| entry.connection.is_usable());
+        let index = idle.iter().rposition(|entry| accepts(&entry.connection))?;
+        let entry = idle.remove(index)?;
+        Some((entry.connection, entry.start_id))
     }
 
     /// Closes connections past their idle timeout. Returns true if no idle connection is
--- a/crates/marigoldloom_standin/src/users/replica.rs
+++ b/crates/marigoldloom_standin/src/users/replica.rs
@@ -1,11 +1,10 @@
 //! A replica that sends scripted bytes as responses and keeps the requests that it receives.
 
-use std::io;
 use std::net::SocketAddr;
-use std::pin;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
+use std::{io, mem, pin};
 
 use async_channel::{Receiver, Sender};
 use async_std::net::{TcpListener, TcpStream};
@@ -49,6 +48,18 @@
     }
 }
 
+/// When the bytes of a response are sent a second time.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Copy {
+    /// Never.
+    #[default]
+    Never,
+    /// Before the response to the next request on the connection.
+    Late,
+    /// The first half right after the response, the other half before the next response.
+    Split,
+}
+
 /// How a replica responds to a request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ScriptedResponse {
@@ -60,6 +71,8 @@
     pub close: bool,
     /// Whether the replica crashes instead of sending the bytes.
     pub crash: bool,
+    /// When the bytes are sent a second time.
+    pub copy: Copy,
 }
 
 impl ScriptedResponse {
@@ -71,10 +84,8 @@
             "HTTP/1.1 {status}\r\nAttempt-Id: {id}\r\n{headers}Content-Length: {len}\r\n\r\n"
         );
         Self {
-            delay: Duration::ZERO,
             bytes: [head.as_bytes(), body].concat(),
-            close: false,
-            crash: false,
+            ..Self::default()
         }
     }
 
@@ -182,6 +193,8 @@
     respond: impl Fn(&ReceivedRequest) -> ScriptedResponse,
 ) {
     let mut buffer = Vec::new();
+    // Second copy of an earlier response that is sent before the next one.
+    let mut late = Vec::new();
     while let Some(request) = read(&mut stream, &mut buffer).await {
         let response = respond(&request);
         {
@@ -194,7 +207,15 @@
         if response.crash {
             return replica.crash();
         }
-        let written = stream.write_all(&response.bytes).await;
+        let mut bytes = mem::take(&mut late);
+        bytes.extend_from_slice(&response.bytes);
+        late = response.bytes;
+        match response.copy {
+            Copy::Never => late.clear(),
+            Copy::Late => {}
+            Copy::Split => bytes.extend(late.drain(..late.len() / 2)),
+        }
+        let written = stream.write_all(&bytes).await;
         if response.close || written.is_err() {
             return;
         }
