Reject answers without an id on connections that echo ids

A caller could get the answer to another caller's request: an upstream that echoes the ids of requests sends a second copy of an answer, late and without the id.

Cause: an answer without an id counted as the answer to any request.

Change: once an answer on a connection contained an id, one without an id is treated like the answer to another request. Upstreams that never echo ids are served as before; there, such a copy still can't be told from an answer.

--- a/crates/marigoldloom_front/src/client.rs
+++ b/crates/marigoldloom_front/src/client.rs
@@ -146,8 +146,9 @@
         let request = || admit().then(|| self.build_request(target, subquery, call, left()));
         let sent = connection::send(&pool, Some(&subquery.request.0), left, request).await;
         let reply = match sent {
-            Ok((response, lease)) => {
-                let (reply, reusable) = self.read_response(subquery, response).await;
+            Ok((response, mut lease)) => {
+                let connection = lease.connection();
+                let (reply, reusable) = self.read_response(subquery, response, connection).await;
                 match reusable {
                     true => lease.return_to_pool(),
                     false => drop(lease),
@@ -181,15 +182,12 @@
         &self,
         subquery: &Subquery,
         response: Response<Incoming>,
+        connection: &mut Connection,
     ) -> (Result<Reply, Error>, bool) {
         let (mut head, body) = response.into_parts();
         let reusable = !headers::has_connection_close(&head.headers);
         let info = self.dialect.parse_response(head.status, &head.headers);
-        let matches = info
-            .request_id
-            .as_deref()
-            .is_none_or(|id| *id == *subquery.request.0);
-        if !matches {
+        if !connection.accepts_response(info.request_id.as_deref(), &subquery.request.0) {
             return (Err(Error::Mismatch), false);
         }
         let body = match Limited::new(body, self.settings.max_body).collect().await {
--- a/crates/marigoldloom_front/src/connection.rs
+++ b/crates/marigoldloom_front/src/connection.rs
@@ -30,6 +30,22 @@
 pub struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
     sent: SentRequests,
+    /// Whether a response on this connection contained the id of its request.
+    has_echoed: bool,
+}
+
+impl Connection {
+    /// Whether a response that contains `id` may answer `request`. Once a response contained an id,
+    /// those without one are copies of unknown origin.
+    pub(crate) fn accepts_response(&mut self, id: Option<&str>, request: &str) -> bool {
+        match id {
+            Some(id) => {
+                self.has_echoed = true;
+                id == request
+            }
+            None => !self.has_echoed,
+        }
+    }
 }
 
 impl pool::Reusable for Connection {
@@ -50,6 +66,7 @@
         Ok(Self {
             sender,
             sent: SentRequests::default(),
+            has_echoed: false,
         })
     }
 
--- a/crates/marigoldloom_standin/src/users/replica.rs
+++ b/crates/marigoldloom_standin/src/users/replica.rs
@@ -58,6 +58,8 @@
     Late,
     /// The first half right after the response, the other half before the next response.
     Split,
+    /// Before the next response, without the header with the id of the attempt.
+    Anonymous,
 }
 
 /// How a replica responds to a request.
@@ -214,6 +216,7 @@
             Copy::Never => late.clear(),
             Copy::Late => {}
             Copy::Split => bytes.extend(late.drain(..late.len() / 2)),
+            Copy::Anonymous => late = without_id(&late),
         }
         let written = stream.write_all(&bytes).await;
         if response.close || written.is_err() {
@@ -222,6 +225,14 @@
     }
 }
 
+/// Returns a response of text without the header that echoes the id of the attempt.
+fn without_id(response: &[u8]) -> Vec<u8> {
+    let text = String::from_utf8_lossy(response);
+    let lines = text.split_inclusive("\r\n");
+    let kept: String = lines.filter(|l| !l.starts_with("Attempt-Id:")).collect();
+    kept.into_bytes()
+}
+
 /// Reads one request; `None` if the connection ends first. A request without `Content-Length` is
 /// taken to have no body.
 async fn read(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<ReceivedRequest> {
