Keep failures of upstreams out of merged answers

With several shards, a 3xx or 4xx that bears a seal became a part too.

Cause: two places took a failure for a result. The engine returned an upstream's error response as the result of a query with a single shard. That is meant for routes to one upstream, which pass the failure on unchanged, but a scatter over one shard is merged. And every 3xx and 4xx counted as an answer, whoever needed it.

Change: the policy of a request says what becomes of responses with an error status. Routes to one upstream relay them, as before. For a scatter they are failed attempts, which may be retried, count against the upstream, and leave the shard out.

--- a/crates/marigoldloom_front/src/front.rs
+++ b/crates/marigoldloom_front/src/front.rs
@@ -18,7 +18,7 @@
 use marigoldloom_query::engine::{Engine, Outcome};
 use marigoldloom_query::hooks::Hooks;
 use marigoldloom_query::refusal::{Kind, Refusal, RunStatus};
-use marigoldloom_query::request::{EarlyAnswer, Policy, Request as Query};
+use marigoldloom_query::request::{EarlyAnswer, ErrorReplies, Policy, Request as Query};
 use marigoldloom_records::class::Class;
 use marigoldloom_runtime::runtime::{self, Runtime};
 use marigoldloom_runtime::scope;
@@ -328,6 +328,10 @@
                 max_attempts: route.attempts.max(1),
                 early_answer,
                 may_wait: false,
+                error_replies: match route.backend {
+                    Backend::Scatter(_) => ErrorReplies::Discard,
+                    Backend::Single(_) | Backend::Split(_) => ErrorReplies::Relay,
+                },
             },
             scope,
         };
--- a/crates/marigoldloom_query/src/attempt.rs
+++ b/crates/marigoldloom_query/src/attempt.rs
@@ -11,6 +11,7 @@
 
 use crate::answer;
 use crate::hooks::{self, Hooks, Observer};
+use crate::request::ErrorReplies;
 use crate::state::Core;
 
 /// Counts a request's attempts that may have run, including abandoned ones.
@@ -119,6 +120,7 @@
         mut self,
         mut subquery: message::Subquery,
         run_counter: Arc<RunCounter>,
+        error_replies: ErrorReplies,
     ) -> Result<message::Reply, upstream::Error> {
         subquery.deadline = self.deadline;
         let admit = || !self.health.is_unwilling(self.core.rt.now());
@@ -126,6 +128,7 @@
         let reply = upstream.send(&self.replica.target, &subquery, admit);
         let reply = runtime::timeout_at(&self.core.rt, self.deadline, reply).await;
         let result = reply.unwrap_or(Err(upstream::Error::TimedOut));
+        let result = result.and_then(|reply| check_status(reply, error_replies));
         if result.as_ref().is_err_and(upstream::Error::not_run) {
             run_counter.0.fetch_sub(1, Ordering::Relaxed);
         }
@@ -204,3 +207,18 @@
         }
     }
 }
+
+/// Turns a response whose status isn't a success into a failure, unless the caller gets it.
+fn check_status(
+    reply: message::Reply,
+    error_replies: ErrorReplies,
+) -> Result<message::Reply, upstream::Error> {
+    match reply.error_status() {
+        Some(status) if error_replies == ErrorReplies::Discard => Err(upstream::Error::Failed {
+            status: status.as_u16(),
+            report: Some(reply.report),
+            reply: None,
+        }),
+        _ => Ok(reply),
+    }
+}
--- a/crates/marigoldloom_query/src/engine.rs
+++ b/crates/marigoldloom_query/src/engine.rs
@@ -423,7 +423,7 @@
                     Err(upstream::Error::Failed {
                         reply: Some(reply), ..
                     }),
-                ) => {
+                ) if self.relays_errors() => {
                     return Ok(answer::Part::new(shard, *reply));
                 }
                 (_, Err(error)) => {
--- a/crates/marigoldloom_query/src/request.rs
+++ b/crates/marigoldloom_query/src/request.rs
@@ -17,6 +17,17 @@
     pub min_shards: u32,
 }
 
+/// What becomes of an upstream's HTTP response whose status isn't a success.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ErrorReplies {
+    /// The attempt has failed. Required if the responses are merged, since a failure is no part of
+    /// an answer.
+    #[default]
+    Discard,
+    /// The caller gets it unchanged if no attempt succeeds. Only for requests to a single upstream.
+    Relay,
+}
+
 /// Per-request limits, in addition to those of the service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Policy {
@@ -27,6 +38,8 @@
     /// Whether the request may wait for a newer snapshot or for retry budget. It waits for
     /// capacity in either case.
     pub may_wait: bool,
+    /// What becomes of an upstream's response whose status isn't a success.
+    pub error_replies: ErrorReplies,
 }
 
 impl Default for Policy {
@@ -35,6 +48,7 @@
             max_attempts: u32::MAX,
             early_answer: None,
             may_wait: true,
+            error_replies: ErrorReplies::default(),
         }
     }
 }
--- a/crates/marigoldloom_query/src/shard.rs
+++ b/crates/marigoldloom_query/src/shard.rs
@@ -129,16 +129,21 @@
 }
 
 impl<'a, R: Runtime, U: upstream::Upstream, H: Hooks> Query<'a, R, U, H> {
-    /// Runs the query on one shard. If it is the only one, an upstream's response with an error
-    /// status counts as the result.
+    /// Runs the query on one shard. If the request's policy says so, an upstream's response with an
+    /// error status counts as the result.
     pub(crate) async fn query_shard(&self, shard: u32) -> Result<message::Reply, Reason> {
         let mut history = AttemptHistory::default();
         match self.run_attempts(shard, &mut history).await {
-            Err(reason) if self.total == 1 => history.failure_reply.ok_or(reason),
+            Err(reason) if self.relays_errors() => history.failure_reply.ok_or(reason),
             result => result,
         }
     }
 
+    /// Whether the caller gets an upstream's response with an error status.
+    pub(crate) fn relays_errors(&self) -> bool {
+        self.request.policy.error_replies == request::ErrorReplies::Relay
+    }
+
     /// Makes attempts at one shard, one after the other or hedged, until one succeeds.
     async fn run_attempts(
         &self,
@@ -224,7 +229,8 @@
         let started = self.core.rt.now();
         let cold = reservation.cold;
         self.run_counter.add();
-        let attempt = reservation.send(subquery, Arc::clone(&self.run_counter));
+        let error_replies = self.request.policy.error_replies;
+        let attempt = reservation.send(subquery, Arc::clone(&self.run_counter), error_replies);
         let attempt = self.watch_crash(Arc::clone(&name), attempt);
         let result = match self.core.settings.losing_attempts {
             engine::LosingAttempts::Cancel => attempt.await,
--- a/crates/marigoldloom_upstream/src/message.rs
+++ b/crates/marigoldloom_upstream/src/message.rs
@@ -81,6 +81,14 @@
     pub report: Report,
 }
 
+impl Reply {
+    /// Returns the status of the HTTP response if it isn't a success.
+    pub fn error_status(&self) -> Option<http::StatusCode> {
+        let status = self.head.as_ref()?.status;
+        (!status.is_success()).then_some(status)
+    }
+}
+
 /// What an upstream reports about itself.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 #[derive(Deserialize, Serialize)]
