Bound what an instance reads of endless responses, in sum

Other operators reported a faulty upstream that sent bytes without end, in a head or in a body, until the machine that had called it ran out of memory, with the requests of all its callers.

A body that is too long by its own account is not read at all. - A connection reads at most 256 KiB until the head of the response is complete, and its buffer holds 64 KiB instead of about 400. - The same reading serves forwarded queries, messages of other instances, and the bodies of callers.

--- /dev/null
+++ b/crates/marigoldloom_front/src/body.rs
@@ -0,0 +1,145 @@
+//! Reads message bodies within limits on each of them and on all of them together.
+
+use std::pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use derive_more::derive;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+
+/// Bytes of a body that are not counted in [`Memory`], so that small bodies can be read while large
+/// ones have taken all of it.
+const UNCOUNTED: usize = 16 * 1024;
+
+/// Part of an instance's memory that a single sender may take.
+const SENDER_DIVISOR: usize = 4;
+
+/// Why a body can't be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(derive::Display, derive::Error)]
+pub(crate) enum Error {
+    /// The body is longer than allowed.
+    #[display("the body is longer than {limit} bytes")]
+    TooLong {
+        /// The limit in bytes.
+        limit: usize,
+    },
+    /// The bodies that are being read take all memory.
+    #[display("bodies being read take all of the {limit} bytes for them")]
+    NoMemory {
+        /// The limit that was reached, in bytes.
+        limit: usize,
+    },
+    /// The connection ended or failed within the body.
+    #[display("the body ended early")]
+    Truncated,
+}
+
+/// Memory for the bodies that an instance is reading, or for those of one sender. Clones share it.
+#[derive(Clone, Debug)]
+pub(crate) struct Memory {
+    used: Arc<AtomicUsize>,
+    limit: usize,
+    /// Memory that this one is a part of.
+    whole: Option<Arc<Self>>,
+}
+
+impl Memory {
+    /// Creates an amount of `limit` bytes of which nothing is used.
+    pub(crate) fn new(limit: usize) -> Self {
+        Self {
+            used: Arc::default(),
+            limit,
+            whole: None,
+        }
+    }
+
+    /// Creates the part of this memory that one sender may use.
+    pub(crate) fn for_sender(&self) -> Self {
+        Self {
+            whole: Some(Arc::new(self.clone())),
+            ..Self::new(self.limit / SENDER_DIVISOR)
+        }
+    }
+
+    /// Takes `bytes`; takes nothing and returns the limit that is reached if too few are left.
+    fn take(&self, bytes: usize) -> Result<(), usize> {
+        let left = |used: usize| used.checked_add(bytes).filter(|sum| *sum <= self.limit);
+        let taken = self
+            .used
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, left);
+        taken.map_err(|_used| self.limit)?;
+        let whole = self
+            .whole
+            .as_ref()
+            .map_or(Ok(()), |whole| whole.take(bytes));
+        whole.inspect_err(|_limit| {
+            self.used.fetch_sub(bytes, Ordering::Relaxed);
+        })
+    }
+
+    fn give_back(&self, bytes: usize) {
+        self.used.fetch_sub(bytes, Ordering::Relaxed);
+        if let Some(whole) = &self.whole {
+            whole.give_back(bytes);
+        }
+    }
+}
+
+/// A buffer whose capacity is counted in [`Memory`] until it is dropped.
+struct Buffer<'a> {
+    bytes: Vec<u8>,
+    memory: &'a Memory,
+    counted: usize,
+}
+
+impl Buffer<'_> {
+    /// Appends `data`, up to `limit` bytes in all.
+    fn push(&mut self, data: &[u8], limit: usize) -> Result<(), Error> {
+        let needed = self.bytes.len() + data.len();
+        if needed > limit {
+            return Err(Error::TooLong { limit });
+        }
+        if needed > self.bytes.capacity() {
+            let capacity = needed.max(2 * self.bytes.capacity()).min(limit);
+            let added = capacity.saturating_sub(UNCOUNTED) - self.counted;
+            let taken = self.memory.take(added);
+            taken.map_err(|limit| Error::NoMemory { limit })?;
+            self.counted += added;
+            self.bytes.reserve_exact(capacity - self.bytes.len());
+        }
+        self.bytes.extend_from_slice(data);
+        Ok(())
+    }
+}
+
+impl Drop for Buffer<'_> {
+    fn drop(&mut self) {
+        self.memory.give_back(self.counted);
+    }
+}
+
+/// Reads a whole body of at most `limit` bytes. While it is read, it uses `memory`.
+///
+/// The data is copied: pieces of a chunked body may be a byte long, and each one would keep the
+/// buffer that it was received in.
+pub(crate) async fn read(body: Incoming, limit: usize, memory: &Memory) -> Result<Vec<u8>, Error> {
+    let length = body.size_hint().lower();
+    if length > limit as u64 {
+        return Err(Error::TooLong { limit });
+    }
+    let mut buffer = Buffer {
+        bytes: Vec::new(),
+        memory,
+        counted: 0,
+    };
+    let mut body = pin::pin!(body);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_error| Error::Truncated)?;
+        if let Some(data) = frame.data_ref() {
+            buffer.push(data, limit)?;
+        }
+    }
+    Ok(std::mem::take(&mut buffer.bytes))
+}
--- a/crates/marigoldloom_front/src/client.rs
+++ b/crates/marigoldloom_front/src/client.rs
@@ -2,13 +2,13 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::header::CONTENT_ENCODING;
 use http::{Request, Response};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use marigoldloom_http::pool;
 use marigoldloom_routing::topology;
@@ -16,6 +16,7 @@
 use marigoldloom_upstream::message::{self, Head, Reply, Subquery};
 use marigoldloom_upstream::upstream::{self, Error, Refusal, Target};
 
+use crate::body::{self, Memory};
 use crate::connection::{self, Connection};
 use crate::dialect::{Dialect, ResponseInfo};
 use crate::headers;
@@ -43,6 +44,8 @@
     pub spare_timeout: Duration,
     /// Largest response body in bytes.
     pub max_body: usize,
+    /// Memory for all response bodies that are being read, in bytes. Small bodies are not counted.
+    pub body_memory: usize,
 }
 
 impl Default for Settings {
@@ -53,6 +56,7 @@
             idle_timeout: Duration::from_secs(4),
             spare_timeout: Duration::from_secs(1),
             max_body: 4 * 1024 * 1024,
+            body_memory: 32 * 1024 * 1024,
         }
     }
 }
@@ -63,7 +67,15 @@
     rt: R,
     dialect: D,
     settings: Arc<Settings>,
-    pools: Arc<Mutex<BTreeMap<Target, pool::Pool<Connection>>>>,
+    memory: Memory,
+    channels: Arc<Mutex<BTreeMap<Target, Channel>>>,
+}
+
+/// Connections to one replica and the memory for its responses.
+#[derive(Clone)]
+struct Channel {
+    pool: pool::Pool<Connection>,
+    memory: Memory,
 }
 
 impl<R: Runtime, D: Dialect> Client<R, D> {
@@ -72,11 +84,17 @@
         Self {
             rt,
             dialect,
+            memory: Memory::new(settings.body_memory),
             settings: Arc::new(settings),
-            pools: Arc::default(),
+            channels: Arc::default(),
         }
     }
 
+    /// Returns the memory for response bodies that are being read.
+    pub(crate) fn memory(&self) -> Memory {
+        self.memory.clone()
+    }
+
     /// Drops the pools of removed replicas and creates pools for new ones. `share` returns this
     /// instance's share of the connections that a replica of a service accepts; the limit for
     /// a replica that serves several services is the largest share, and at least one.
@@ -92,17 +110,20 @@
                 *limit = share(key, replica.connections).max(*limit);
             }
         }
-        let mut pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
-        let mut old = std::mem::take(&mut *pools);
+        let mut channels = self.channels();
+        let mut old = std::mem::take(&mut *channels);
         for (target, limit) in limits {
-            let pool = match old.remove(target) {
-                Some(pool) => {
-                    pool.set_limit(limit);
-                    pool
+            let channel = match old.remove(target) {
+                Some(channel) => {
+                    channel.pool.set_limit(limit);
+                    channel
                 }
-                None => self.new_pool(target.address, limit),
+                None => Channel {
+                    pool: self.new_pool(target.address, limit),
+                    memory: self.memory.for_sender(),
+                },
             };
-            pools.insert(target.clone(), pool);
+            channels.insert(target.clone(), channel);
         }
     }
 
@@ -110,9 +131,8 @@
     pub async fn sweep(self) {
         loop {
             self.rt.sleep(SWEEP_PERIOD).await;
-            let pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
-            for pool in pools.values() {
-                pool.sweep();
+            for channel in self.channels().values() {
+                channel.pool.sweep();
             }
         }
     }
@@ -129,9 +149,8 @@
         pool::Pool::new(address, settings)
     }
 
-    fn find_pool(&self, target: &Target) -> Option<pool::Pool<Connection>> {
-        let pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
-        pools.get(target).cloned()
+    fn channels(&self) -> MutexGuard<'_, BTreeMap<Target, Channel>> {
+        self.channels.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     async fn exchange(
@@ -141,14 +160,16 @@
         admit: impl Fn() -> bool + Send + Sync,
     ) -> Result<Reply, Error> {
         let call = subquery.call.as_ref().ok_or(Error::Unreachable)?;
-        let pool = self.find_pool(target).ok_or(Error::Unreachable)?;
+        let channel = self.channels().get(target).cloned();
+        let Channel { pool, memory } = channel.ok_or(Error::Unreachable)?;
         let left = || subquery.deadline.since(self.rt.now());
         let request = || admit().then(|| self.build_request(target, subquery, call, left()));
         let sent = connection::send(&pool, Some(&subquery.request.0), left, request).await;
         let reply = match sent {
             Ok((response, mut lease)) => {
                 let connection = lease.connection();
-                let (reply, reusable) = self.read_response(subquery, response, connection).await;
+                let read = self.read_response(subquery, response, connection, &memory);
+                let (reply, reusable) = read.await;
                 match reusable {
                     true => lease.return_to_pool(),
                     false => drop(lease),
@@ -183,6 +204,7 @@
         subquery: &Subquery,
         response: Response<Incoming>,
         connection: &mut Connection,
+        memory: &Memory,
     ) -> (Result<Reply, Error>, bool) {
         let (mut head, body) = response.into_parts();
         let reusable = !headers::has_connection_close(&head.headers);
@@ -190,13 +212,21 @@
         if !connection.accepts_response(info.request_id.as_deref(), &subquery.request.0) {
             return (Err(Error::Mismatch), false);
         }
-        let body = match Limited::new(body, self.settings.max_body).collect().await {
-            Ok(body) => body.to_bytes(),
-            Err(_) => return (Err(Error::Lost), false),
+        let body = match body::read(body, self.settings.max_body, memory).await {
+            Ok(body) => body,
+            Err(error) => {
+                tracing::info!(
+                    request = &*subquery.request.0,
+                    upstream = %connection.address,
+                    %error,
+                    "response not read"
+                );
+                return (Err(Error::Lost), false);
+            }
         };
         headers::remove_hop_by_hop(&mut head.headers);
         let reply = Reply {
-            body: body.into(),
+            body,
             head: Some(Box::new(Head {
                 status: head.status,
                 headers: head.headers,
--- a/crates/marigoldloom_front/src/connection.rs
+++ b/crates/marigoldloom_front/src/connection.rs
@@ -14,6 +14,7 @@
 use marigoldloom_upstream::upstream::{Error, Refusal};
 use smol_hyper::rt::FuturesIo;
 
+use crate::head_limit::{HeadLimit, LimitedStream};
 use crate::sent_requests::SentRequests;
 
 /// Largest number of closed connections that a request may take from the pool before it fails.
@@ -22,13 +23,23 @@
 /// Time limit for a connection to become ready after its last response.
 const READY_LIMIT: Duration = Duration::from_millis(20);
 
+/// Largest buffer of a connection for bytes that were received, and largest head of a response, in
+/// bytes.
+const BUFFER_LIMIT: usize = 64 * 1024;
+
+/// Number of bytes that may be received until the head of a response is complete. Parts of the body
+/// may be among them.
+const HEAD_BYTES: usize = 4 * BUFFER_LIMIT;
+
 /// A request stops waiting for a connection this long before its deadline, so that it fails as
 /// unsent rather than with an unknown outcome.
 const UNSENT_MARGIN: Duration = Duration::from_millis(5);
 
 /// An HTTP/1.1 client connection of hyper.
 pub struct Connection {
+    pub(crate) address: SocketAddr,
     sender: http1::SendRequest<Full<Bytes>>,
+    limit: HeadLimit,
     sent: SentRequests,
     /// Whether a response on this connection contained the id of its request.
     has_echoed: bool,
@@ -56,7 +67,15 @@
     ) -> Result<Self, client::Error> {
         let stream = socket::connect(address, limit).await;
         let stream = stream.map_err(|_| client::Error::Unreachable)?;
-        let handshake = http1::handshake(FuturesIo::new(stream)).await;
+        let limit = HeadLimit::default();
+        let stream = LimitedStream {
+            tcp: stream,
+            limit: limit.clone(),
+        };
+        let handshake = http1::Builder::new()
+            .max_buf_size(BUFFER_LIMIT)
+            .handshake(FuturesIo::new(stream))
+            .await;
         let (sender, connection) = handshake.map_err(|_| client::Error::Unreachable)?;
         task::spawn(async move {
             if let Err(error) = connection.await {
@@ -64,7 +83,9 @@
             }
         });
         Ok(Self {
+            address,
             sender,
+            limit,
             sent: SentRequests::default(),
             has_echoed: false,
         })
@@ -121,8 +142,12 @@
         if let Some(id) = id {
             connection.sent.record(id, left());
         }
+        connection.limit.begin(HEAD_BYTES);
         match connection.sender.try_send_request(request).await {
-            Ok(response) => return Ok((response, lease)),
+            Ok(response) => {
+                connection.limit.end();
+                return Ok((response, lease));
+            }
             Err(mut error) => {
                 // hyper returns the request only if no byte of it was sent.
                 let unsent = error.take_message().is_some();
--- a/crates/marigoldloom_front/src/forward.rs
+++ b/crates/marigoldloom_front/src/forward.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Response};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use marigoldloom_http::pool;
 use marigoldloom_routing::health;
 use marigoldloom_runtime::delay::DelayEstimate;
@@ -14,6 +14,7 @@
 use marigoldloom_upstream::message::{Call, Report};
 use marigoldloom_upstream::upstream::Error;
 
+use crate::body::{self, Memory};
 use crate::connection::{self, Connection};
 use crate::headers;
 use crate::homes::ReservedHome;
@@ -86,13 +87,15 @@
     address: SocketAddr,
     pub(crate) health: health::Health,
     pool: pool::Pool<Connection>,
+    /// Memory for its answers.
+    memory: Memory,
     /// Duration of an exchange without the time that the other instance worked.
     network_delay: DelayEstimate,
 }
 
 impl Peer {
-    /// Creates a peer without connections or observations.
-    pub(crate) fn new(now: Timestamp, address: SocketAddr) -> Self {
+    /// Creates a peer without connections or observations. Its answers use a part of `memory`.
+    pub(crate) fn new(now: Timestamp, address: SocketAddr, memory: &Memory) -> Self {
         let observation = health::Observation {
             cold_start: health::ColdStart::Announced,
             detect_silence: true,
@@ -109,6 +112,7 @@
             address,
             health: health::Health::new(now, observation),
             pool: pool::Pool::new(address, settings),
+            memory: memory.for_sender(),
             network_delay: DelayEstimate::default(),
         }
     }
@@ -189,12 +193,12 @@
     let (mut head, body) = response.into_parts();
     let reusable = !headers::has_connection_close(&head.headers);
     headers::remove_hop_by_hop(&mut head.headers);
-    let body = Limited::new(body, ANSWER_LIMIT).collect().await;
-    let body = body.map_err(|_incomplete| Error::Lost)?.to_bytes();
+    let body = body::read(body, ANSWER_LIMIT, &peer.memory).await;
+    let body = body.map_err(|_incomplete| Error::Lost)?;
     if reusable {
         lease.return_to_pool();
     }
-    Ok(Response::from_parts(head, Full::new(body)))
+    Ok(Response::from_parts(head, Full::new(Bytes::from(body))))
 }
 
 /// Removes and parses the headers of a forwarded query; `None` if one is missing or invalid,
--- a/crates/marigoldloom_front/src/front.rs
+++ b/crates/marigoldloom_front/src/front.rs
@@ -8,7 +8,7 @@
 use futures::future::{self, Either};
 use http::header::HOST;
 use http::{Request, Response, StatusCode, request};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use marigoldloom_catalog::configuration::{Backend, Limits, Route, Scatter, Share};
 use marigoldloom_catalog::feed::Feed;
@@ -28,6 +28,7 @@
 use marigoldloom_upstream::upstream::Upstream;
 use xxhash_rust::xxh3;
 
+use crate::body::{self, Memory};
 use crate::dialect::{Caller, Dialect};
 use crate::drain::Drain;
 use crate::exchange::{self, PeerExchange};
@@ -152,13 +153,12 @@
         if caller.id.is_none() {
             return Err(Rejection::Malformed);
         }
-        let body = Limited::new(body, view.limits.body).collect().await;
-        let body = body.map_err(
-            |error| match error.is::<http_body_util::LengthLimitError>() {
-                true => Rejection::BodyTooLong,
-                false => Rejection::Truncated,
-            },
-        )?;
+        let limit = view.limits.body;
+        let body = body::read(body, limit, &Memory::new(limit)).await;
+        let body = body.map_err(|error| match error {
+            body::Error::TooLong { .. } => Rejection::BodyTooLong,
+            body::Error::NoMemory { .. } | body::Error::Truncated => Rejection::Truncated,
+        })?;
         let (target, route) = (target.clone(), Arc::clone(route));
         let time = match forwarded {
             Some(forwarded) => forwarded.due,
@@ -179,7 +179,7 @@
             due: arrived_at + time,
             route,
             call: Arc::new(call),
-            body: Arc::from(&*body.to_bytes()),
+            body: Arc::from(body),
         })
     }
 
--- a/crates/marigoldloom_front/src/homes.rs
+++ b/crates/marigoldloom_front/src/homes.rs
@@ -22,6 +22,7 @@
 use marigoldloom_runtime::time::Timestamp;
 use marigoldloom_upstream::upstream::Target;
 
+use crate::body::Memory;
 use crate::forward::Peer;
 
 /// Connections to a replica that each home instance needs; limits the size of a home set.
@@ -63,16 +64,19 @@
     rt: R,
     own: home::Candidate,
     place: Place,
+    /// Memory for the answers of other instances.
+    memory: Memory,
     state: Mutex<State>,
 }
 
 impl<R: Runtime> Homes<R> {
     /// Creates the state of an instance that knows no other instance yet.
-    pub(crate) fn new(rt: R, own: home::Candidate, place: Place) -> Self {
+    pub(crate) fn new(rt: R, own: home::Candidate, place: Place, memory: Memory) -> Self {
         Self {
             rt,
             own,
             place,
+            memory,
             state: Mutex::default(),
         }
     }
@@ -189,7 +193,8 @@
 
     fn peer(&self, state: &mut State, address: SocketAddr) -> Arc<Peer> {
         let peer = state.peers.entry(address);
-        Arc::clone(peer.or_insert_with(|| Arc::new(Peer::new(self.rt.now(), address))))
+        let new = || Arc::new(Peer::new(self.rt.now(), address, &self.memory));
+        Arc::clone(peer.or_insert_with(new))
     }
 
     fn target(&self, member: &Member) -> Replica {
--- a/crates/marigoldloom_front/src/instance.rs
+++ b/crates/marigoldloom_front/src/instance.rs
@@ -154,7 +154,8 @@
     rt.spawn(strikes::save(rt, source.clone(), queue));
     rt.spawn(strikes::restore(rt, source.clone(), exchange.clone()));
     let own = member(&settings);
-    let homes = Homes::new(rt, own.candidate.clone(), settings.place.clone());
+    let (candidate, place) = (own.candidate.clone(), settings.place.clone());
+    let homes = Homes::new(rt, candidate, place, client.memory());
     let sharing = Arc::new(Sharing {
         engine: engine.clone(),
         client,
--- a/crates/marigoldloom_front/src/lib.rs
+++ b/crates/marigoldloom_front/src/lib.rs
@@ -6,6 +6,7 @@
 //! This crate uses hyper instead of async-h1, which neither preserves the target of a request byte
 //! for byte nor supports response bodies that are delimited by the end of the connection.
 
+mod body;
 pub mod client;
 pub mod connection;
 mod decisions;
@@ -15,6 +16,7 @@
 mod exchange;
 mod forward;
 pub mod front;
+mod head_limit;
 pub mod headers;
 mod homes;
 pub mod instance;
--- a/crates/marigoldloom_front/src/peer_client.rs
+++ b/crates/marigoldloom_front/src/peer_client.rs
@@ -8,13 +8,14 @@
 use bytes::Bytes;
 use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Method, Request, Response, StatusCode, Uri};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use marigoldloom_http::pool;
 use marigoldloom_runtime::runtime::{self, Runtime};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::body::{self, Memory};
 use crate::connection::{self, Connection};
 
 /// Timeout for opening a connection to another instance.
@@ -23,12 +24,17 @@
 /// Idle timeout of a connection between two messages.
 const IDLE_LIMIT: Duration = Duration::from_secs(30);
 
+/// Number of response bodies of the largest size that are read at the same time.
+const MAX_LARGE_BODIES: usize = 4;
+
 /// Client with one connection to each instance. Clones share the connections.
 #[derive(Clone)]
 pub(crate) struct PeerClient<R> {
     rt: R,
     /// Largest response body in bytes.
     max_body: usize,
+    /// Memory for the responses.
+    memory: Memory,
     pools: Arc<Mutex<BTreeMap<SocketAddr, pool::Pool<Connection>>>>,
 }
 
@@ -38,6 +44,7 @@
         Self {
             rt,
             max_body,
+            memory: Memory::new(MAX_LARGE_BODIES * max_body),
             pools: Arc::default(),
         }
     }
@@ -83,9 +90,9 @@
             .await
             .ok()?;
         let (head, body) = response.into_parts();
-        let body = Limited::new(body, self.max_body).collect().await.ok()?;
+        let body = body::read(body, self.max_body, &self.memory).await.ok()?;
         lease.return_to_pool();
-        Some((head.status, body.to_bytes()))
+        Some((head.status, Bytes::from(body)))
     }
 
     fn pool(&self, address: SocketAddr) -> pool::Pool<Connection> {
@@ -108,7 +115,7 @@
 /// Reads a message of at most `limit` bytes. Returns `None` and logs the error if it can't be
 /// decoded.
 pub(crate) async fn read<T: DeserializeOwned>(body: Incoming, limit: usize) -> Option<T> {
-    let body = Limited::new(body, limit).collect().await.ok()?.to_bytes();
+    let body = body::read(body, limit, &Memory::new(limit)).await.ok()?;
     serde_json::from_slice(&body)
         .inspect_err(|error| tracing::warn!(%error, "a message of an instance can't be decoded"))
         .ok()
--- a/crates/marigoldloom_standin/src/users/replica.rs
+++ b/crates/marigoldloom_standin/src/users/replica.rs
@@ -75,6 +75,8 @@
     pub crash: bool,
     /// When the bytes are sent a second time.
     pub copy: Copy,
+    /// Bytes that follow again and again until the connection ends; nothing follows if it is empty.
+    pub endless: Vec<u8>,
 }
 
 impl ScriptedResponse {
@@ -222,6 +224,13 @@
         if response.close || written.is_err() {
             return;
         }
+        while !response.endless.is_empty() {
+            if stream.write_all(&response.endless).await.is_err() {
+                return;
+            }
+            // A recipient that reads fast must not keep the other connections waiting.
+            task::yield_now().await;
+        }
     }
 }
 
