Wait for a crashed stand-in without connecting to it

An attempt that crosses the close of the listener loses its first packet; the operating system sends it again a second later, when the stand-in listens again, so the wait ran into its limit. Or the listener was closed and the pooled connection was not yet.

Change: the server says when its listener and all its connections are closed, the stand-in counts the pause until its restart from then and says that it is down, and the test waits for that. The assertions are the same.

--- a/crates/marigoldloom_http/src/server.rs
+++ b/crates/marigoldloom_http/src/server.rs
@@ -147,6 +147,15 @@
         self.address
     }
 
+    /// Closes the listener and all connections at once. The future completes when they are closed.
+    pub fn close(self) -> impl Future<Output = ()> + Send {
+        drop(self.signals);
+        async move {
+            // Nothing is ever sent: the channel closes when the last task has ended.
+            let _ = self.finished.recv().await;
+        }
+    }
+
     /// Number of open connections.
     pub fn connections(&self) -> usize {
         self.open_count.load(Ordering::Relaxed)
@@ -227,6 +236,9 @@
     while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
         start(stream, &context, &alive);
     }
+    // Whoever waits for the end must find the listener closed.
+    drop(listener);
+    drop(alive);
 }
 
 fn start<H: Handler>(stream: TcpStream, context: &Arc<Context<H>>, alive: &Sender<()>) {
--- a/crates/marigoldloom_standin/src/upstream.rs
+++ b/crates/marigoldloom_standin/src/upstream.rs
@@ -10,6 +10,7 @@
 use std::future;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -59,6 +60,8 @@
     state: Mutex<state::State>,
     slots: Arc<Semaphore>,
     server: Mutex<Option<server::Server>>,
+    /// Whether it has crashed, all its connections are closed and it doesn't listen yet.
+    is_down: AtomicBool,
     rng: Mutex<StdRng>,
     outcome: Sender<Outcome>,
 }
@@ -79,6 +82,7 @@
         rng: Mutex::new(rng),
         settings,
         outcome: sender,
+        is_down: AtomicBool::new(false),
     });
     let address = core.listen(core.settings.listen).await?;
     let admin_settings = server::Settings {
@@ -142,6 +146,11 @@
         self.outcome.recv().await.unwrap_or(Outcome::Crashed)
     }
 
+    /// Whether it has crashed with all its connections and doesn't listen yet.
+    pub fn is_down(&self) -> bool {
+        self.core.is_down.load(Ordering::Relaxed)
+    }
+
     /// Refuses new queries for `Settings::drain_ms`, waits for running ones and stops.
     ///
     /// # Errors
@@ -196,22 +205,30 @@
         };
         self.state().crash(rand::random());
         let address = server.address();
-        drop(server);
+        let closed = server.close();
         tracing::warn!(upstream = self.settings.name, "the stand-in crashed");
         match self.settings.restart_ms {
             Some(millis) => {
                 let pause = Duration::from_millis(millis);
-                task::spawn(Arc::clone(self).restart(address, pause));
+                task::spawn(Arc::clone(self).restart(address, closed, pause));
             }
             None => self.report_outcome(Outcome::Crashed),
         }
     }
 
-    async fn restart(self: Arc<Self>, address: SocketAddr, pause: Duration) {
+    /// Listens again when `pause` has passed since all connections were `closed`.
+    async fn restart(
+        self: Arc<Self>,
+        address: SocketAddr,
+        closed: impl Future<Output = ()>,
+        pause: Duration,
+    ) {
+        closed.await;
+        self.is_down.store(true, Ordering::Relaxed);
         task::sleep(pause).await;
         while !self.state().is_stopped() {
             match self.listen(address).await {
-                Ok(_) => return,
+                Ok(_) => return self.is_down.store(false, Ordering::Relaxed),
                 Err(error) => tracing::warn!(%error, "the stand-in can't listen again yet"),
             }
             task::sleep(BIND_RETRY_INTERVAL).await;
--- a/crates/marigoldloom_standin/tests/upstream.rs
+++ b/crates/marigoldloom_standin/tests/upstream.rs
@@ -404,7 +404,9 @@
         let before = fixture.send(1, "q").await.unwrap().report;
         assert_eq!(before.state, message::State::Ready);
         fixture.standin.trigger(Event::Crash);
-        fixture.until_open(false).await;
+        // A connection attempt that crosses the close of the listener would be repeated by the
+        // operating system and succeed after the restart.
+        until(|| fixture.standin.is_down()).await;
         assert_eq!(fixture.send(2, "q").await, Err(Error::Unreachable));
         fixture.until_open(true).await;
         let after = fixture.send(3, "q").await.unwrap().report;
