Don't pass on refusals without the upstream's word that nothing ran

Callers of a non-idempotent route got an upstream's 503, 429 or 408 unchanged, also if the upstream didn't state that it had not run the request. To callers, these statuses state just that, so they may send the request again.

Cause: the statuses were relayed like any failure of an upstream. Change: without that statement, the attempt has failed with an unknown outcome, and the caller gets the instance's own 502.

--- a/crates/marigoldloom_front/src/client.rs
+++ b/crates/marigoldloom_front/src/client.rs
@@ -278,6 +278,8 @@
             report: Some(info.report),
         }),
         200..=299 if encoded || info.signature.is_none() => Err(failed(None)),
+        // To callers, these statuses state that the request hasn't run.
+        408 | 421 | 429 | 503 => Err(failed(None)),
         500.. => Err(failed(Some(Box::new(reply)))),
         _ => Ok(reply),
     }
