Count crashes of a request for all services that it may be routed to

Cause: strikes were counted under a hash of the service, the target and the body. Each share of a split is a service, and so is whatever a newer configuration moves the route to, so the caller's next attempt started with no strikes.

Change: strikes are counted twice, as before and under what the caller repeats: host, method, target and body. The request is refused if either count is at the limit. A run without a crash clears the count of its own service and the common one. So a request that only one share of a split can't bear is refused there and served by the others. Requests whose callers name the service have one count, as before.

--- a/crates/marigoldloom_limits/src/fingerprint.rs
+++ b/crates/marigoldloom_limits/src/fingerprint.rs
@@ -1,9 +1,8 @@
 //! Counts crashes of upstreams per request, and refuses requests that caused too many.
 //!
-//! A fingerprint is a hash of a request's service, target and body. The target is the HTTP target,
-//! or the route if there is none. Each crash while a request runs is a strike against its
-//! fingerprint. Without this limit, a caller that repeats a crashing request would take down one
-//! upstream after another.
+//! A fingerprint is a hash of what a caller repeats, with or without the service that the request is
+//! routed to. Each crash while a request runs is a strike against its fingerprints. Without this
+//! limit, a caller that repeats a crashing request would take down one upstream after another.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::mem;
@@ -31,8 +30,7 @@
 /// Maximum number of harmless fingerprints in each of two generations.
 const MAX_HARMLESS: usize = 32_768;
 
-/// Hash of a request's service, target (the HTTP target, or the route if there is none) and body.
-/// Its text form has 16 hexadecimal digits.
+/// Hash of a request's destination and body. Its text form has 16 hexadecimal digits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[derive(Deserialize, Serialize, derive::Display)]
 #[serde(transparent)]
@@ -40,10 +38,10 @@
 pub struct Fingerprint(pub u64);
 
 impl Fingerprint {
-    /// Computes the fingerprint of a request.
-    pub fn new(service: &str, target: &str, body: &[u8]) -> Self {
+    /// Computes the fingerprint of a request from what identifies its destination and its body.
+    pub fn new(destination: &[&str], body: &[u8]) -> Self {
         let mut hasher = xxh3::Xxh3::new();
-        for part in [service.as_bytes(), target.as_bytes(), body] {
+        for part in destination.iter().map(|d| d.as_bytes()).chain([body]) {
             hasher.update(&part.len().to_le_bytes());
             hasher.update(part);
         }
--- a/crates/marigoldloom_limits/tests/retries.rs
+++ b/crates/marigoldloom_limits/tests/retries.rs
@@ -8,7 +8,7 @@
 #[test]
 fn harmless_run_restores_the_retry() {
     let tracker = CrashTracker::new();
-    let fingerprint = Fingerprint::new("search", "set-piece", b"corner");
+    let fingerprint = Fingerprint::new(&["search", "set-piece"], b"corner");
     tracker.add_strike(WallTime(1), fingerprint);
     assert!(tracker.take_retry(fingerprint));
     assert!(
--- a/crates/marigoldloom_query/src/engine.rs
+++ b/crates/marigoldloom_query/src/engine.rs
@@ -328,6 +328,7 @@
             snapshot: Arc::new(snapshot),
             total,
             fingerprint: request.fingerprint(),
+            call_fingerprint: request.call_fingerprint(),
             key: key.map(Arc::from),
             deadline: Timestamp::ZERO + request.deadline.since(Timestamp::ZERO + ANSWER_MARGIN),
             run_counter: Arc::clone(run_counter),
@@ -395,7 +396,7 @@
             return Err(self.unavailable(reason.unwrap_or(Reason::NoReplica)));
         }
         if gathered.missing.is_empty() {
-            self.core.clear_strikes(self.fingerprint);
+            self.clear_strikes();
         }
         Ok(answer::Answer {
             request: self.request.id.clone(),
@@ -437,7 +438,7 @@
     }
 
     fn single_shard_answer(&self, part: answer::Part) -> answer::Answer {
-        self.core.clear_strikes(self.fingerprint);
+        self.clear_strikes();
         answer::Answer {
             request: self.request.id.clone(),
             snapshot: (*self.snapshot).clone(),
--- a/crates/marigoldloom_query/src/gather.rs
+++ b/crates/marigoldloom_query/src/gather.rs
@@ -202,23 +202,24 @@
         }
     }
 
-    /// Returns whether the fingerprint is known to be harmless, and remembers it if so. Fails if
-    /// the fingerprint is quarantined.
+    /// Returns whether the request is known to be harmless, and remembers it if so. Fails if it is
+    /// quarantined, at its service or at all services.
     pub(crate) fn check_quarantine(&self) -> Result<bool, Refusal> {
-        match self
-            .core
-            .crash_tracker
-            .status(self.core.rt.wall(), self.fingerprint)
-        {
-            fingerprint::Status::Quarantined(left) => {
-                Err(self.refusal(Kind::Quarantined).with_retry_after(left))
-            }
-            fingerprint::Status::Unknown => Ok(false),
-            fingerprint::Status::Harmless => {
-                self.harmless.store(true, Ordering::Relaxed);
-                Ok(true)
+        let now = self.core.rt.wall();
+        let mut harmless = true;
+        for fingerprint in self.fingerprints() {
+            match self.core.crash_tracker.status(now, fingerprint) {
+                fingerprint::Status::Quarantined(left) => {
+                    return Err(self.refusal(Kind::Quarantined).with_retry_after(left));
+                }
+                fingerprint::Status::Unknown => harmless = false,
+                fingerprint::Status::Harmless => {}
             }
         }
+        if harmless {
+            self.harmless.store(true, Ordering::Relaxed);
+        }
+        Ok(harmless)
     }
 
     /// Whether the settings require a canary for a request that isn't known to be harmless.
@@ -232,7 +233,7 @@
 
     /// Whether an upstream crashed while it ran a request with this fingerprint.
     pub(crate) fn has_strikes(&self) -> bool {
-        self.core.strike_count(self.fingerprint) > 0
+        self.strike_count() > 0
     }
 
     /// Runs the request on one shard. After a lost connection it runs once on another shard.
@@ -251,7 +252,8 @@
             }
             Err(_) => {}
             Ok(_) => {
-                self.core.crash_tracker.mark_harmless(self.fingerprint);
+                self.fingerprints()
+                    .for_each(|f| self.core.crash_tracker.mark_harmless(f));
                 self.harmless.store(true, Ordering::Relaxed);
             }
         }
--- a/crates/marigoldloom_query/src/request.rs
+++ b/crates/marigoldloom_query/src/request.rs
@@ -6,7 +6,6 @@
 use marigoldloom_records::class;
 use marigoldloom_runtime::{scope, time};
 use marigoldloom_upstream::message;
-use xxhash_rust::xxh3;
 
 /// When a partial answer is returned instead of waiting for the remaining shards.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -79,18 +78,28 @@
 }
 
 impl Request {
-    /// Fingerprint under which crashes of upstreams that run the request are counted. It covers
-    /// the service, the target (the HTTP target, or the route if there is none) and the body.
+    /// Fingerprint under which crashes of the service's upstreams that run the request are counted. It
+    /// covers the service, the target (the HTTP target, or the route if there is none) and the body.
     pub fn fingerprint(&self) -> fingerprint::Fingerprint {
         let target = self
             .call
             .as_ref()
             .map_or(&*self.route, |c| c.target.as_str());
-        fingerprint::Fingerprint::new(&self.service, target, &self.body)
+        fingerprint::Fingerprint::new(&[&self.service, target], &self.body)
+    }
+
+    /// Fingerprint under which crashes are counted for all services together, since the caller's
+    /// next attempt may be routed to another one; `None` if the caller names the service.
+    pub fn call_fingerprint(&self) -> Option<fingerprint::Fingerprint> {
+        let call = self.call.as_ref()?;
+        let host = call.headers.get(http::header::HOST);
+        let host = host.and_then(|h| h.to_str().ok()).unwrap_or_default();
+        let parts = [host, call.method.as_str(), call.target.as_str()];
+        Some(fingerprint::Fingerprint::new(&parts, &self.body))
     }
 
     /// Hash of the request id, used to split traffic between versions during a version move.
     pub fn hash(&self) -> u64 {
-        xxh3::xxh3_64(self.id.0.as_bytes())
+        self.id.hash()
     }
 }
--- a/crates/marigoldloom_query/src/shard.rs
+++ b/crates/marigoldloom_query/src/shard.rs
@@ -65,7 +65,10 @@
     pub(crate) snapshot: Arc<service::Snapshot>,
     /// Number of shards of the snapshot.
     pub(crate) total: u32,
+    /// Fingerprint of the request at its service.
     pub(crate) fingerprint: fingerprint::Fingerprint,
+    /// Fingerprint of the request at all services; `None` if its callers name the service.
+    pub(crate) call_fingerprint: Option<fingerprint::Fingerprint>,
     /// The caller's idempotency key, sent to the upstream; `None` on idempotent routes.
     pub(crate) key: Option<Arc<str>>,
     pub(crate) deadline: Timestamp,
@@ -244,6 +247,27 @@
         (name, result)
     }
 
+    /// Fingerprints under which crashes are counted.
+    pub(crate) fn fingerprints(
+        &self,
+    ) -> impl Iterator<Item = fingerprint::Fingerprint> + Send + use<R, U, H> {
+        [Some(self.fingerprint), self.call_fingerprint]
+            .into_iter()
+            .flatten()
+    }
+
+    /// Number of strikes against the request: at its service or at all together, whichever is more.
+    /// A run without a crash at another service clears only the latter.
+    pub(crate) fn strike_count(&self) -> u32 {
+        let counts = self.fingerprints().map(|f| self.core.strike_count(f));
+        counts.max().unwrap_or_default()
+    }
+
+    /// Clears the strikes against the request after a run without a crash.
+    pub(crate) fn clear_strikes(&self) {
+        self.fingerprints().for_each(|f| self.core.clear_strikes(f));
+    }
+
     /// Counts the end of an upstream during `attempt` as a strike against the fingerprint, unless
     /// another upstream has run the request without a crash. Happens in the attempt itself, because
     /// it may outlive the query.
@@ -256,7 +280,7 @@
         F: Future<Output = Result<message::Reply, upstream::Error>> + Send,
     {
         let core = Arc::clone(self.core);
-        let (fingerprint, survived) = (self.fingerprint, Arc::clone(&self.survived));
+        let (fingerprints, survived) = (self.fingerprints(), Arc::clone(&self.survived));
         async move {
             let result = attempt.await;
             if core.settings.canary != engine::CanaryPolicy::AfterStrike {
@@ -264,11 +288,15 @@
             }
             match &result {
                 Err(upstream::Error::Ended) if !survived.load(Ordering::Relaxed) => {
-                    core.add_strike(fingerprint, Some(&upstream));
+                    for fingerprint in fingerprints {
+                        core.add_strike(fingerprint, Some(&upstream));
+                    }
+                }
+                Ok(_) if !survived.swap(true, Ordering::Relaxed) => {
+                    fingerprints.for_each(|f| core.clear_strikes(f));
                 }
-                Ok(_) if !survived.swap(true, Ordering::Relaxed) => core.clear_strikes(fingerprint),
                 Err(error) if error.survived() && !survived.swap(true, Ordering::Relaxed) => {
-                    core.clear_strikes(fingerprint);
+                    fingerprints.for_each(|f| core.clear_strikes(f));
                 }
                 _ => {}
             }
@@ -500,13 +528,14 @@
         self.shard_service(shard).record_crash(self.core.rt.now());
         if self.core.settings.canary == engine::CanaryPolicy::AfterStrike {
             let survived = self.survived.load(Ordering::Relaxed);
-            return survived
-                || self.core.strike_count(self.fingerprint) < fingerprint::STRIKE_LIMIT;
+            return survived || self.strike_count() < fingerprint::STRIKE_LIMIT;
         }
         let harmless = self.harmless.load(Ordering::Relaxed);
         // A connection reset can hit many attempts at once, so only the first one counts.
         if !self.strike_recorded.swap(true, Ordering::Relaxed) || !harmless {
-            self.core.add_strike(self.fingerprint, None);
+            for fingerprint in self.fingerprints() {
+                self.core.add_strike(fingerprint, None);
+            }
         }
         harmless || !needs_canary && self.core.crash_tracker.take_retry(self.fingerprint)
     }
--- a/crates/marigoldloom_upstream/src/message.rs
+++ b/crates/marigoldloom_upstream/src/message.rs
@@ -6,6 +6,7 @@
 use marigoldloom_records::service;
 use marigoldloom_runtime::time;
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3;
 
 /// Id of a caller's request, the same in all processes that handle it.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -13,6 +14,13 @@
 #[serde(transparent)]
 pub struct RequestId(pub Arc<str>);
 
+impl RequestId {
+    /// Hash of the id, the same in all processes.
+    pub fn hash(&self) -> u64 {
+        xxh3::xxh3_64(self.0.as_bytes())
+    }
+}
+
 /// Id of one attempt at a subquery; unique across instances and restarts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[derive(Deserialize, Serialize, derive::Display)]
