Check before each send that the upstream may still get it

Cause: an upstream is selected before the request waits for one of the few connections to it. When one was free, only the upstream's own word was checked again, not the topology.

Change: right before the send, the upstream must be in the current topology as the same process, neither draining nor in a failure domain that is out, and its version allowed by the moves. Otherwise the attempt has not run, and the request goes to another upstream or is refused at once.

--- a/crates/marigoldloom_query/src/attempt.rs
+++ b/crates/marigoldloom_query/src/attempt.rs
@@ -10,7 +10,7 @@
 use marigoldloom_upstream::{message, upstream};
 
 use crate::answer;
-use crate::hooks::{self, Hooks, Observer};
+use crate::hooks::{self, Hooks, Observer, Versions};
 use crate::request::ErrorReplies;
 use crate::state::Core;
 
@@ -123,7 +123,7 @@
         error_replies: ErrorReplies,
     ) -> Result<message::Reply, upstream::Error> {
         subquery.deadline = self.deadline;
-        let admit = || !self.health.is_unwilling(self.core.rt.now());
+        let admit = || self.may_send(&subquery);
         let upstream = &self.core.upstream;
         let reply = upstream.send(&self.replica.target, &subquery, admit);
         let reply = runtime::timeout_at(&self.core.rt, self.deadline, reply).await;
@@ -136,6 +136,17 @@
         result
     }
 
+    /// Whether the subquery may still be sent to the replica, which may have changed since it was
+    /// selected: the attempt may have waited for a connection.
+    fn may_send(&self, subquery: &message::Subquery) -> bool {
+        let versions = self.core.hooks.versions();
+        let first = self.purpose == hooks::Purpose::First;
+        let filter = versions.filter(&self.shard_service, subquery.request.hash(), first);
+        let allowed = filter.prefers(&self.replica) || filter.allows(&self.replica);
+        let usable = self.core.is_usable(&subquery.service, &self.replica);
+        allowed && usable && !self.health.is_unwilling(self.core.rt.now())
+    }
+
     fn record_result(
         &mut self,
         subquery: &message::Subquery,
--- a/crates/marigoldloom_query/src/state.rs
+++ b/crates/marigoldloom_query/src/state.rs
@@ -102,6 +102,16 @@
         topology.clone()
     }
 
+    /// Whether the current topology allows new work for the process `replica` of `service`.
+    pub(crate) fn is_usable(&self, service: &str, replica: &topology::Replica) -> bool {
+        let topology = self.topology();
+        let view = topology.as_ref().and_then(|t| t.service(service));
+        let current = view.and_then(|v| v.upstreams().get(&replica.target.name));
+        current.is_some_and(|current| {
+            current.usable && current.target == replica.target && current.born == replica.born
+        })
+    }
+
     /// Replaces the current topology and handles the cold starts that result from it.
     pub(crate) fn apply(&self, topology: Arc<topology::Topology>) {
         let cold_starts = self.health.update(self.rt.now(), &topology);
