Treat upstreams of a returned failure domain as cold until they can have reported

Cause: only an upstream's own record set the pace, and that is up to a reporting period old when the domain returns.

Change: for 3 s after the return, the pace for cold upstreams holds for all upstreams of the domain whose service has one. Reports come about every 1.2 s; one that says cold extends the pace. Each instance does so by itself when it sees the return, and the pace is divided between the instances as for every cold start.

Not covered: an instance that starts within these 3 s doesn't know of the return, and an upstream that turns cold at another time is known as cold from its next report on.

Test: upstreams_of_a_returned_domain_count_as_cold_until_they_can_have_reported failed before and passes.

--- a/crates/marigoldloom_catalog/src/catalog.rs
+++ b/crates/marigoldloom_catalog/src/catalog.rs
@@ -17,6 +17,10 @@
 /// announcement arrives here.
 const EXPIRY_GRACE: Duration = Duration::from_millis(2_500);
 
+/// Time after the return of a failure domain in which its replicas count as cold. Replicas report
+/// about every 1.2 s, so that by then each one that has turned cold has said so.
+const RETURN_TIME: Duration = Duration::from_secs(3);
+
 /// Where an instance runs, and the regions of all failure domains.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Place {
@@ -34,6 +38,9 @@
     previous: Option<Configuration>,
     replicas: BTreeMap<Arc<str>, ReplicaEntry>,
     evacuated: BTreeSet<Arc<str>>,
+    /// When the replicas of a failure domain that has returned count as warm unless they report
+    /// otherwise.
+    returned: BTreeMap<Arc<str>, Timestamp>,
     moves: BTreeMap<Arc<str>, Order>,
     listed_kinds: BTreeSet<Kind>,
 }
@@ -68,6 +75,7 @@
             previous: None,
             replicas: BTreeMap::new(),
             evacuated: BTreeSet::new(),
+            returned: BTreeMap::new(),
             moves: BTreeMap::new(),
             listed_kinds: BTreeSet::new(),
         }
@@ -125,7 +133,9 @@
             }
             (Kind::Evacuations, None) => {
                 tracing::info!(domain = %name, "the failure domain takes work again");
-                self.evacuated.remove(&name);
+                if self.evacuated.remove(&name) {
+                    self.returned.insert(name, now + RETURN_TIME);
+                }
             }
             (Kind::Moves, Some(Record::Move(order))) => {
                 self.moves.insert(name, order);
@@ -218,6 +228,13 @@
         self.replicas.values().any(|e| e.expiry.is_some())
     }
 
+    /// Returns when a replica is warm; `None` if it was warm when it was first seen.
+    fn warm_at(&self, entry: &ReplicaEntry) -> Option<Timestamp> {
+        let reported = (!entry.replica.warmup.is_zero()).then_some(entry.warm_at);
+        let returned = self.returned.get(&entry.replica.domain).copied();
+        reported.max(returned)
+    }
+
     /// Returns a view of the records, or `None` until each kind was listed and a configuration is
     /// known.
     pub fn view(&self) -> Option<View> {
@@ -228,7 +245,7 @@
         let usable = |r: &Replica| !r.draining && !self.evacuated.contains(&r.domain);
         let replicas = self.replicas.values().map(|entry| ReplicaState {
             replica: &entry.replica,
-            warm_at: entry.warm_at,
+            warm_at: self.warm_at(entry),
             usable: usable(&entry.replica),
         });
         let replicas: Vec<_> = replicas.collect();
--- a/crates/marigoldloom_catalog/src/view.rs
+++ b/crates/marigoldloom_catalog/src/view.rs
@@ -90,8 +90,8 @@
 pub(crate) struct ReplicaState<'a> {
     /// The replica's record.
     pub(crate) replica: &'a Replica,
-    /// When it is warm.
-    pub(crate) warm_at: Timestamp,
+    /// When it is warm; `None` if it isn't known to have been cold.
+    pub(crate) warm_at: Option<Timestamp>,
     /// Whether it may get new requests: neither draining nor in an evacuated failure domain.
     pub(crate) usable: bool,
 }
@@ -170,9 +170,10 @@
         let replica = state.replica;
         let service = self.current.services.get(&replica.service);
         let rate = service.map_or(0.0, |s| s.cold_rate);
-        let pace = (rate > 0.0 && !replica.warmup.is_zero()).then(|| topology::Pace {
+        let warm_at = state.warm_at.filter(|_| rate > 0.0);
+        let pace = warm_at.map(|end| topology::Pace {
             interval: Duration::from_secs_f64(rate.max(MIN_COLD_RATE).recip()),
-            end: state.warm_at,
+            end,
         });
         topology::Replica {
             target: Target {
--- a/crates/marigoldloom_catalog/tests/follower.rs
+++ b/crates/marigoldloom_catalog/tests/follower.rs
@@ -11,8 +11,10 @@
 use marigoldloom_catalog::fleet::{self, Member};
 use marigoldloom_catalog::follower::{self, LatestView, Sources};
 use marigoldloom_catalog::relay::{self, Roster};
+use marigoldloom_catalog::replica::Replica;
 use marigoldloom_catalog::source::{Invalid, Kind, Record};
 use marigoldloom_runtime::runtime::Runtime;
+use marigoldloom_runtime::time::Timestamp;
 use marigoldloom_testkit::virtual_runtime::{self, VirtualRuntime};
 use support::{FakePlatform, configuration, in_force, member, replica};
 
@@ -44,6 +46,33 @@
     }
 }
 
+/// Returns a configuration whose cold upstreams accept `rate` requests a second.
+fn paced(version: u64, rate: f64) -> Record {
+    let Record::Configuration(mut new) = configuration(version) else {
+        unreachable!("it is a configuration");
+    };
+    for service in new.services.values_mut() {
+        service.cold_rate = rate;
+    }
+    Record::Configuration(new)
+}
+
+/// Returns the record of a replica that is warm after `warmup`.
+fn warming(name: &str, warmup: Duration) -> Record {
+    let Record::Replica(new) = replica(name, false) else {
+        unreachable!("it is a replica");
+    };
+    Record::Replica(Replica { warmup, ..new })
+}
+
+/// Whether requests to the upstream `name` are paced at `now`.
+fn is_paced(latest: &LatestView, name: &str, now: Timestamp) -> bool {
+    let view = latest.get().unwrap();
+    let mut services = view.topology.services().values();
+    let upstream = services.find_map(|s| s.upstreams().get(name)).unwrap();
+    upstream.pace.is_some_and(|pace| pace.end > now)
+}
+
 /// Runs `check` on an instance that follows a fake platform with one configuration and two
 /// replicas.
 fn follow<F>(check: impl FnOnce(VirtualRuntime, FakePlatform, LatestView) -> F + Send + 'static)
@@ -99,6 +128,72 @@
     });
 }
 
+/// Guards against a failure domain that returns with cold upstreams which get their usual share of
+/// requests until their next reports say that they are cold, and against upstreams that stay slow for
+/// want of such a report.
+#[test]
+fn upstreams_of_a_returned_domain_count_as_cold_until_they_can_have_reported() {
+    struct Case {
+        rate: f64,
+        /// Time from the return until the record of `r1` states `warmup`.
+        report: Option<Duration>,
+        warmup: Duration,
+        /// Time from the return until a check, and whether requests are paced then.
+        checks: [(Duration, bool); 2],
+    }
+    let seconds = Duration::from_secs_f64;
+    let cases = [
+        Case {
+            rate: 5.0,
+            report: None,
+            warmup: Duration::ZERO,
+            checks: [(seconds(0.5), true), (seconds(3.5), false)],
+        },
+        Case {
+            rate: 5.0,
+            report: Some(seconds(1.2)),
+            warmup: seconds(8.0),
+            checks: [(seconds(0.5), true), (seconds(8.0), true)],
+        },
+        Case {
+            rate: 5.0,
+            report: Some(seconds(1.2)),
+            warmup: seconds(0.5),
+            checks: [(seconds(2.5), true), (seconds(3.5), false)],
+        },
+        Case {
+            rate: 0.0,
+            report: Some(seconds(1.2)),
+            warmup: seconds(8.0),
+            checks: [(seconds(0.5), false), (seconds(2.0), false)],
+        },
+    ];
+    for (number, case) in cases.into_iter().enumerate() {
+        follow(move |rt, platform, latest| async move {
+            platform.set(Kind::Configuration, "main", Some(paced(4, case.rate)));
+            platform.set(Kind::Evacuations, "north", Some(Record::Evacuation));
+            rt.sleep(Duration::from_secs(5)).await;
+            platform.set(Kind::Evacuations, "north", None);
+            rt.sleep(Duration::from_millis(50)).await;
+            let returned = rt.now();
+            let report = async {
+                if let Some(at) = case.report {
+                    rt.sleep(at).await;
+                    platform.set(Kind::Replicas, "r1", Some(warming("r1", case.warmup)));
+                }
+            };
+            let check = async {
+                for (at, expected) in case.checks {
+                    rt.sleep(at.saturating_sub(rt.now().since(returned))).await;
+                    let seen = is_paced(&latest, "r1", rt.now());
+                    assert_eq!(seen, expected, "case {number}, {at:?} after the return");
+                }
+            };
+            futures::future::join(report, check).await;
+        });
+    }
+}
+
 /// Guards against a return to an older version of the configuration.
 #[test]
 fn older_configuration_is_ignored() {
