--- a/crates/marigoldloom_front/src/front.rs
+++ b/crates/marigoldloom_front/src/front.rs
@@ -14,7 +14,7 @@
 use marigoldloom_catalog::feed::Feed;
 use marigoldloom_catalog::follower::LatestView;
 use marigoldloom_catalog::view::{self, View};
-use marigoldloom_query::answer::{Answer, Part, Reason};
+use marigoldloom_query::answer::{Answer, Reason};
 use marigoldloom_query::engine::{Engine, Outcome};
 use marigoldloom_query::hooks::Hooks;
 use marigoldloom_query::refusal::{Kind, Refusal, RunStatus};
@@ -39,6 +39,7 @@
 use crate::merge;
 use crate::records;
 use crate::rejection::Rejection;
+use crate::responses;
 
 /// Time to deliver an answer to the caller: network delay and scheduling delay.
 const ANSWER_DELAY: Duration = Duration::from_millis(10);
@@ -234,7 +235,7 @@
             Ok(answer) => {
                 self.record_coverage(arrival, &answer);
                 match answer.results.into_iter().next() {
-                    Some(part) => into_response(part),
+                    Some(part) => responses::into_response(part),
                     None => self.refuse(arrival, &Refusal::not_run(Kind::Unavailable)),
                 }
             }
@@ -266,7 +267,7 @@
                 let reason = answer.coverage.missing.first().map(|m| m.reason);
                 let refusal = Refusal::not_run(Kind::Unavailable);
                 let reason = reason.unwrap_or(Reason::NoReplica);
-                let refusal = refusal.with_reason(reason, run_status(&answer));
+                let refusal = refusal.with_reason(reason, responses::run_status(&answer));
                 self.refuse(arrival, &self.with_pause(refusal, &query.service))
             }
             Err(refusal) => self.refuse(arrival, &self.with_pause(refusal, &query.service)),
@@ -393,7 +394,7 @@
     }
 
     fn refuse(&self, arrival: &Arrival, refusal: &Refusal) -> Response<Full<Bytes>> {
-        let status = refusal_status(refusal);
+        let status = responses::refusal_status(refusal);
         tracing::info!(
             request = arrival.caller.id.as_deref(),
             route = %arrival.route.name,
@@ -527,32 +528,3 @@
         _ => Class::Bulk,
     }
 }
-
-/// Converts the answer of one upstream into an unchanged HTTP response.
-fn into_response(part: Part) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from(part.body.0)));
-    if let Some(head) = part.head {
-        *response.status_mut() = head.status;
-        *response.headers_mut() = head.headers;
-    }
-    response
-}
-
-/// HTTP status for a refusal. 503 states that the request has not run; with the others it may
-/// have run.
-const fn refusal_status(refusal: &Refusal) -> StatusCode {
-    match (refusal.run, refusal.reason) {
-        (RunStatus::NotRun, _) => StatusCode::SERVICE_UNAVAILABLE,
-        (RunStatus::Unknown, Some(Reason::TimedOut)) => StatusCode::GATEWAY_TIMEOUT,
-        (RunStatus::Unknown, _) => StatusCode::BAD_GATEWAY,
-    }
-}
-
-/// Whether a query without enough parts may have run on an upstream.
-fn run_status(answer: &Answer) -> RunStatus {
-    let mut missing = answer.coverage.missing.iter();
-    match answer.results.is_empty() && missing.all(|m| m.reason == Reason::Unwilling) {
-        true => RunStatus::NotRun,
-        false => RunStatus::Unknown,
-    }
-}
--- a/crates/marigoldloom_front/src/lib.rs
+++ b/crates/marigoldloom_front/src/lib.rs
@@ -26,6 +26,7 @@
 mod peer_client;
 mod records;
 mod rejection;
+mod responses;
 mod sent_requests;
 mod sharing;
 mod strikes;
--- a/crates/marigoldloom_query/src/gather.rs
+++ b/crates/marigoldloom_query/src/gather.rs
@@ -231,11 +231,6 @@
         }
     }
 
-    /// Whether an upstream crashed while it ran a request with this fingerprint.
-    pub(crate) fn has_strikes(&self) -> bool {
-        self.strike_count() > 0
-    }
-
     /// Runs the request on one shard. After a lost connection it runs once on another shard.
     async fn run_canary(&self) -> Result<(u32, Result<message::Reply, Reason>), Refusal> {
         let random = runtime::random_below(&self.core.rt, u64::from(self.total));
--- a/crates/marigoldloom_query/src/lib.rs
+++ b/crates/marigoldloom_query/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod answer;
 mod attempt;
 pub mod convert;
+mod crashes;
 pub mod engine;
 mod gather;
 pub mod hooks;
