Report connections of a server as closed only when they are

Server::close completed while a connection of an aborted request was still open: the task of a connection said that it had ended before its stream was dropped. 1 of 504 runs of restart_is_cold_and_has_another_start_id, 8 copies at once beside other load, got Lost instead of Unreachable, since the client found its pooled connection open.

--- a/crates/marigoldloom_http/src/server.rs
+++ b/crates/marigoldloom_http/src/server.rs
@@ -244,9 +244,12 @@
 fn start<H: Handler>(stream: TcpStream, context: &Arc<Context<H>>, alive: &Sender<()>) {
     let (context, alive) = (Arc::clone(context), alive.clone());
     task::spawn(async move {
-        let work = pin::pin!(serve(stream, &context));
-        let aborted = pin::pin!(context.aborted.recv());
-        combinators::select(work, aborted).await;
+        {
+            let work = pin::pin!(serve(stream, &context));
+            let aborted = pin::pin!(context.aborted.recv());
+            combinators::select(work, aborted).await;
+        }
+        // Only now is the connection closed.
         drop(alive);
     });
 }
