--- a/crates/marigoldloom_front/src/client.rs
+++ b/crates/marigoldloom_front/src/client.rs
@@ -13,6 +13,7 @@
 use marigoldloom_http::pool;
 use marigoldloom_routing::topology;
 use marigoldloom_runtime::runtime::Runtime;
+use marigoldloom_telemetry::metrics::Metrics;
 use marigoldloom_upstream::message::{self, Head, Reply, Subquery};
 use marigoldloom_upstream::upstream::{self, Error, Refusal, Target};
 
@@ -28,6 +29,9 @@
 /// connections responds within a round trip between regions, 40 ms.
 const LOSS_CHECK_LIMIT: Duration = Duration::from_millis(100);
 
+/// Largest number of characters of a received id in a log line.
+const LOGGED_ID_LEN: usize = 64;
+
 /// Limits of the client.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Settings {
@@ -67,6 +71,7 @@
     rt: R,
     dialect: D,
     settings: Arc<Settings>,
+    metrics: Metrics,
     memory: Memory,
     channels: Arc<Mutex<BTreeMap<Target, Channel>>>,
 }
@@ -80,10 +85,11 @@
 
 impl<R: Runtime, D: Dialect> Client<R, D> {
     /// Creates a client without connections.
-    pub fn new(rt: R, dialect: D, settings: Settings) -> Self {
+    pub fn new(rt: R, dialect: D, settings: Settings, metrics: Metrics) -> Self {
         Self {
             rt,
             dialect,
+            metrics,
             memory: Memory::new(settings.body_memory),
             settings: Arc::new(settings),
             channels: Arc::default(),
@@ -209,7 +215,19 @@
         let (mut head, body) = response.into_parts();
         let reusable = !headers::has_connection_close(&head.headers);
         let info = self.dialect.parse_response(head.status, &head.headers);
-        if !connection.accepts_response(info.request_id.as_deref(), &subquery.request.0) {
+        let id = info.request_id.as_deref();
+        if id.is_none() {
+            self.metrics.record_anonymous_response();
+        }
+        if !connection.accepts_response(id, &subquery.request.0) {
+            self.metrics.record_unmatched_response();
+            tracing::info!(
+                request = &*subquery.request.0,
+                upstream = %connection.address,
+                status = head.status.as_u16(),
+                received = id.map(|id| id.chars().take(LOGGED_ID_LEN).collect::<String>()),
+                "response belongs to another request"
+            );
             return (Err(Error::Mismatch), false);
         }
         let body = match body::read(body, self.settings.max_body, memory).await {
--- a/crates/marigoldloom_front/src/instance.rs
+++ b/crates/marigoldloom_front/src/instance.rs
@@ -132,7 +132,12 @@
     let signals = Signals::new([signal::SIGTERM, signal::SIGINT, signal::SIGHUP]);
     let signals = signals.map_err(Error::Signals)?;
     let metrics = Metrics::new()?;
-    let client = Client::new(rt, dialect.clone(), settings.client.clone());
+    let client = Client::new(
+        rt,
+        dialect.clone(),
+        settings.client.clone(),
+        metrics.clone(),
+    );
     rt.spawn(client.clone().sweep());
     let writer: Arc<str> = Arc::from(format!("{}@{}", settings.name, rt.wall().0));
     let exchange = PeerExchange::new(rt, Arc::clone(&settings.name));
--- a/crates/marigoldloom_telemetry/src/metrics.rs
+++ b/crates/marigoldloom_telemetry/src/metrics.rs
@@ -68,6 +68,8 @@
     coverage: Histogram<f64>,
     subqueries: Counter<u64>,
     decisions: Counter<u64>,
+    anonymous_responses: Counter<u64>,
+    unmatched_responses: Counter<u64>,
     control_bytes: Counter<u64>,
     running: UpDownCounter<i64>,
     tenants: Mutex<BTreeSet<String>>,
@@ -107,6 +109,14 @@
                 .u64_counter("marigoldloom_decisions")
                 .with_description("Decisions, such as changes of an upstream's availability")
                 .build(),
+            anonymous_responses: meter
+                .u64_counter("marigoldloom_anonymous_responses")
+                .with_description("Responses of upstreams without the id of a request")
+                .build(),
+            unmatched_responses: meter
+                .u64_counter("marigoldloom_unmatched_responses")
+                .with_description("Responses of upstreams that may answer another request")
+                .build(),
             control_bytes: meter
                 .u64_counter("marigoldloom_control_bytes")
                 .with_description("Bytes of control messages between instances")
@@ -167,6 +177,16 @@
         self.inner.decisions.add(1, &labels);
     }
 
+    /// Counts a response of an upstream without the id of a request.
+    pub fn record_anonymous_response(&self) {
+        self.inner.anonymous_responses.add(1, &[]);
+    }
+
+    /// Counts a rejected response of an upstream that may answer another request.
+    pub fn record_unmatched_response(&self) {
+        self.inner.unmatched_responses.add(1, &[]);
+    }
+
     /// Counts bytes of control messages; `direction` is `sent` or `received`.
     pub fn add_control_bytes(&self, direction: &'static str, bytes: u64) {
         let labels = [KeyValue::new("direction", direction)];
