Reproduce wrong answers beside replicas that answer twice

Two instances run as processes beside replicas that send one answer in five a second time, before or on the next request of the connection; replicas echo the id in all, some or none of their answers. Late copies with ids do no harm on the head. Without ids, 17 of 34 cases have wrong answers (up to 375 of 442), also in bookings and in single shards.

--- a/crates/marigoldloom_standin/src/users/replica.rs
+++ b/crates/marigoldloom_standin/src/users/replica.rs
@@ -60,6 +60,8 @@
     Split,
     /// Before the next response, without the header with the id of the attempt.
     Anonymous,
+    /// As soon as the next request arrives.
+    AtNextRequest,
 }
 
 /// How a replica responds to a request.
@@ -100,6 +102,42 @@
             ..Self::default()
         }
     }
+
+    /// Omits the header with the id of the attempt.
+    pub fn without_id(self) -> Self {
+        let (head, body) = self.split();
+        let lines = head.split_inclusive("\r\n");
+        let kept: String = lines.filter(|l| !l.starts_with("Attempt-Id:")).collect();
+        Self {
+            bytes: [kept.as_bytes(), body].concat(),
+            ..self
+        }
+    }
+
+    /// Sends the body in two chunks instead of with its length.
+    pub fn chunked(self) -> Self {
+        let (head, body) = self.split();
+        let lines = head.split_inclusive("\r\n");
+        let fields: String = lines
+            .filter(|l| !l.starts_with("Content-Length:") && *l != "\r\n")
+            .collect();
+        let mut bytes = format!("{fields}Transfer-Encoding: chunked\r\n\r\n").into_bytes();
+        let (first, second) = body.split_at(body.len() / 2);
+        for chunk in [first, second].iter().filter(|chunk| !chunk.is_empty()) {
+            bytes.extend(format!("{:x}\r\n", chunk.len()).into_bytes());
+            bytes.extend_from_slice(chunk);
+            bytes.extend(b"\r\n");
+        }
+        bytes.extend(b"0\r\n\r\n");
+        Self { bytes, ..self }
+    }
+
+    /// Returns the head with the empty line that ends it, and the body.
+    fn split(&self) -> (String, &[u8]) {
+        let end = self.bytes.windows(4).position(|w| w == b"\r\n\r\n");
+        let (head, body) = self.bytes.split_at(end.map_or(0, |at| at + 4));
+        (String::from_utf8_lossy(head).into_owned(), body)
+    }
 }
 
 /// A replica, which runs until [`Replica::crash`] is called, also when all its handles are
@@ -198,8 +236,15 @@
 ) {
     let mut buffer = Vec::new();
     // Second copy of an earlier response that is sent before the next one.
-    let mut late = Vec::new();
+    let mut late = ScriptedResponse::default();
     while let Some(request) = read(&mut stream, &mut buffer).await {
+        let early = match late.copy {
+            Copy::AtNextRequest => mem::take(&mut late).bytes,
+            _ => Vec::new(),
+        };
+        if stream.write_all(&early).await.is_err() {
+            return;
+        }
         let response = respond(&request);
         {
             let received = replica.received.lock();
@@ -211,15 +256,21 @@
         if response.crash {
             return replica.crash();
         }
-        let mut bytes = mem::take(&mut late);
+        let mut bytes = mem::take(&mut late).bytes;
         bytes.extend_from_slice(&response.bytes);
-        late = response.bytes;
-        match response.copy {
-            Copy::Never => late.clear(),
-            Copy::Late => {}
-            Copy::Split => bytes.extend(late.drain(..late.len() / 2)),
-            Copy::Anonymous => late = without_id(&late),
-        }
+        late = match response.copy {
+            Copy::Never => ScriptedResponse::default(),
+            Copy::Late | Copy::AtNextRequest => response.clone(),
+            Copy::Anonymous => response.clone().without_id(),
+            Copy::Split => {
+                let (first, second) = response.bytes.split_at(response.bytes.len() / 2);
+                bytes.extend_from_slice(first);
+                ScriptedResponse {
+                    bytes: second.to_vec(),
+                    ..response.clone()
+                }
+            }
+        };
         let written = stream.write_all(&bytes).await;
         if response.close || written.is_err() {
             return;
@@ -234,14 +285,6 @@
     }
 }
 
-/// Returns a response of text without the header that echoes the id of the attempt.
-fn without_id(response: &[u8]) -> Vec<u8> {
-    let text = String::from_utf8_lossy(response);
-    let lines = text.split_inclusive("\r\n");
-    let kept: String = lines.filter(|l| !l.starts_with("Attempt-Id:")).collect();
-    kept.into_bytes()
-}
-
 /// Reads one request; `None` if the connection ends first. A request without `Content-Length` is
 /// taken to have no body.
 async fn read(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<ReceivedRequest> {
