Take no response without an id for the answer to a later request

Cause: an answer without an id was accepted on a connection until one with an id had come. Replicas that omit ids, as the users' examples of parts and refusals show, and answer twice, answer the next request on the connection with the late copy; its own answer then waits for the request after it, so that one copy makes many wrong answers.

A response without an id is now accepted only if no earlier response on the connection can be its original, and the connection is closed after it. So an answer needs its id or a connection of its own. The rule doesn't depend on how late a copy is, and each instance keeps it by itself.

--- a/crates/marigoldloom_front/src/client.rs
+++ b/crates/marigoldloom_front/src/client.rs
@@ -213,13 +213,14 @@
         memory: &Memory,
     ) -> (Result<Reply, Error>, bool) {
         let (mut head, body) = response.into_parts();
-        let reusable = !headers::has_connection_close(&head.headers);
         let info = self.dialect.parse_response(head.status, &head.headers);
         let id = info.request_id.as_deref();
+        let reusable = id.is_some() && !headers::has_connection_close(&head.headers);
+        let not_run = info.not_run || info.misdirected;
         if id.is_none() {
             self.metrics.record_anonymous_response();
         }
-        if !connection.accepts_response(id, &subquery.request.0) {
+        if !connection.accepts_response(id, not_run, &subquery.request.0) {
             self.metrics.record_unmatched_response();
             tracing::info!(
                 request = &*subquery.request.0,
--- a/crates/marigoldloom_front/src/connection.rs
+++ b/crates/marigoldloom_front/src/connection.rs
@@ -1,5 +1,6 @@
 //! Pooled HTTP/1.1 connections that send requests unchanged.
 
+use std::mem;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -41,21 +42,30 @@
     sender: http1::SendRequest<Full<Bytes>>,
     limit: HeadLimit,
     sent: SentRequests,
-    /// Whether a response on this connection contained the id of its request.
-    has_echoed: bool,
+    /// Whether the connection has had a response to a request that ran.
+    answered: bool,
+    /// Whether it has had a response to a request that didn't run.
+    refused: bool,
 }
 
 impl Connection {
-    /// Whether a response that contains `id` may answer `request`. Once a response contained an id,
-    /// those without one are copies of unknown origin.
-    pub(crate) fn accepts_response(&mut self, id: Option<&str>, request: &str) -> bool {
-        match id {
-            Some(id) => {
-                self.has_echoed = true;
-                id == request
-            }
-            None => !self.has_echoed,
-        }
+    /// Whether a response that contains `id` answers `request`, the latest one on this connection.
+    /// `not_run` tells whether the response states that the request didn't run.
+    ///
+    /// A response without an id may be a second copy of any earlier response of its kind, so only
+    /// the first one of a kind can answer the request. The connection must be closed after it.
+    pub(crate) fn accepts_response(
+        &mut self,
+        id: Option<&str>,
+        not_run: bool,
+        request: &str,
+    ) -> bool {
+        let received = match not_run {
+            true => &mut self.refused,
+            false => &mut self.answered,
+        };
+        let first = !mem::replace(received, true);
+        id.map_or(first, |id| id == request)
     }
 }
 
@@ -87,7 +97,8 @@
             sender,
             limit,
             sent: SentRequests::default(),
-            has_echoed: false,
+            answered: false,
+            refused: false,
         })
     }
 
