Close the product's connections to upstreams after a response without an echo

The response may be a late copy; the subquery's own response would then wait on the connection. The next subquery got `Mismatch` instead of its answer. The case with a bare 503 in responses_map_to_documented_outcomes now demands a closed connection; it failed before.

--- a/crates/marigoldloom_upstream/src/client.rs
+++ b/crates/marigoldloom_upstream/src/client.rs
@@ -222,8 +222,10 @@
             if let Some(report) = protocol::parse_report(&response) {
                 lease.set_start_id(report.start_id);
             }
+            // Without an echo it may be a copy, and the subquery's own response still to come.
+            let echoed = protocol::has_echo(&response);
             let outcome = protocol::parse_response(subquery, response);
-            if outcome != Err(upstream::Error::Mismatch) {
+            if echoed && outcome != Err(upstream::Error::Mismatch) {
                 lease.return_to_pool();
             }
             return outcome;
--- a/crates/marigoldloom_upstream/src/protocol.rs
+++ b/crates/marigoldloom_upstream/src/protocol.rs
@@ -212,16 +212,21 @@
     Absent,
 }
 
+/// Whether the response contains any header that tells which subquery it answers.
+pub(crate) fn has_echo(response: &http::Response) -> bool {
+    ECHOED.iter().any(|name| response.header(name).is_some())
+}
+
 fn compare_echo(subquery: &message::Subquery, response: &http::Response) -> Echo {
     let id = subquery.id.to_string();
     let shard = subquery.shard.to_string();
     let snapshot = format_snapshot(&subquery.snapshot);
     let expected = [&*subquery.request.0, &id, &shard, &snapshot];
     let received = ECHOED.map(|name| response.header(name));
-    match received.iter().all(Option::is_none) {
-        true => Echo::Absent,
-        false if received == expected.map(Some) => Echo::Same,
-        false => Echo::Other,
+    match has_echo(response) {
+        false => Echo::Absent,
+        true if received == expected.map(Some) => Echo::Same,
+        true => Echo::Other,
     }
 }
 
--- a/crates/marigoldloom_upstream/tests/client.rs
+++ b/crates/marigoldloom_upstream/tests/client.rs
@@ -202,7 +202,7 @@
         ),
         case("status 504", Outcome::TimedOut, false, true),
         case("status 500", Outcome::Failed(500), false, true),
-        case("status 503, bare 1", Outcome::Failed(503), false, true),
+        case("status 503, bare 1", Outcome::Failed(503), false, false),
         case("bare 1", Outcome::Mismatch, false, false),
         case("x-request-id r2", Outcome::Mismatch, false, false),
         case("x-subquery-id 5", Outcome::Mismatch, false, false),
