--- a/crates/marigoldloom_front/src/instance.rs
+++ b/crates/marigoldloom_front/src/instance.rs
@@ -29,6 +29,7 @@
 use signal_hook::consts::signal;
 use signal_hook_async_std::Signals;
 
+use crate::calls::CountedSource;
 use crate::client::{self, Client};
 use crate::decisions::DecisionLog;
 use crate::dialect::Dialect;
@@ -132,6 +133,10 @@
     let signals = Signals::new([signal::SIGTERM, signal::SIGINT, signal::SIGHUP]);
     let signals = signals.map_err(Error::Signals)?;
     let metrics = Metrics::new()?;
+    let source = CountedSource {
+        source,
+        metrics: metrics.clone(),
+    };
     let client = Client::new(
         rt,
         dialect.clone(),
--- a/crates/marigoldloom_front/src/lib.rs
+++ b/crates/marigoldloom_front/src/lib.rs
@@ -7,6 +7,7 @@
 //! for byte nor supports response bodies that are delimited by the end of the connection.
 
 mod body;
+mod calls;
 pub mod client;
 pub mod connection;
 mod decisions;
--- a/crates/marigoldloom_telemetry/src/metrics.rs
+++ b/crates/marigoldloom_telemetry/src/metrics.rs
@@ -68,6 +68,7 @@
     coverage: Histogram<f64>,
     subqueries: Counter<u64>,
     decisions: Counter<u64>,
+    platform_calls: Counter<u64>,
     anonymous_responses: Counter<u64>,
     unmatched_responses: Counter<u64>,
     control_bytes: Counter<u64>,
@@ -109,6 +110,10 @@
                 .u64_counter("marigoldloom_decisions")
                 .with_description("Decisions, such as changes of an upstream's availability")
                 .build(),
+            platform_calls: meter
+                .u64_counter("marigoldloom_platform_calls")
+                .with_description("Calls to the platform")
+                .build(),
             anonymous_responses: meter
                 .u64_counter("marigoldloom_anonymous_responses")
                 .with_description("Responses of upstreams without the id of a request")
@@ -177,6 +182,12 @@
         self.inner.decisions.add(1, &labels);
     }
 
+    /// Counts a finished call to the platform.
+    pub fn record_platform_call(&self, purpose: &'static str, ok: bool) {
+        let labels = [KeyValue::new("purpose", purpose), KeyValue::new("ok", ok)];
+        self.inner.platform_calls.add(1, &labels);
+    }
+
     /// Counts a response of an upstream without the id of a request.
     pub fn record_anonymous_response(&self) {
         self.inner.anonymous_responses.add(1, &[]);
