Read saved strikes only where the platform is watched

Each instance read the saved strikes at its start and once more for each pull that another instance didn't answer; nothing removes instances that have ended, so the reads grew with the square of the fleet.

Instances that watch the platform read them, push what is new, and pause for up to 30 s between two reads; the others pull them from the instances that they poll for records. At most three strikes more can be missed by one side of a partition meanwhile, which is what three crashes on that side take by themselves.

few_instances_read_saved_entries: 6 reads of 6 instances before (failed), 2 after; with six ended instances 8 in 24 s.

--- a/crates/marigoldloom_front/src/exchange.rs
+++ b/crates/marigoldloom_front/src/exchange.rs
@@ -155,11 +155,6 @@
         peer_client::respond(&response)
     }
 
-    /// Adds an entry from the platform to the map without pushing it.
-    pub(crate) fn restore(&self, entry: &Entry) {
-        self.merge(std::slice::from_ref(entry));
-    }
-
     fn map(&self) -> MutexGuard<'_, SharedMap> {
         self.inner
             .map
@@ -261,14 +256,16 @@
             if !others.is_empty() {
                 let index = runtime::random_below(&self.inner.rt, others.len() as u64);
                 let index = usize::try_from(index).unwrap_or(0);
-                self.pull(others[index]).await;
+                // A failure is reported through `until_unreachable`.
+                let _ = self.pull(others[index]).await;
             }
             // Either the next pull is due or there is a new instance to pull from.
             let _ = runtime::timeout(&self.inner.rt, PULL_PERIOD, members_changed).await;
         }
     }
 
-    async fn pull(&self, peer: SocketAddr) {
+    /// Gets the entries that `peer` has and this instance lacks. Returns whether it answered.
+    pub(crate) async fn pull(&self, peer: SocketAddr) -> bool {
         let now = self.inner.rt.wall();
         let hashes = {
             let mut map = self.map();
@@ -279,9 +276,11 @@
             hashes,
             ..Message::default()
         };
-        if !self.send(peer, &message).await {
+        let answered = self.send(peer, &message).await;
+        if !answered {
             self.inner.unreachable.notify(usize::MAX);
         }
+        answered
     }
 
     /// Completes once a pull gets no response: entries of other instances may be missing here.
--- a/crates/marigoldloom_front/src/instance.rs
+++ b/crates/marigoldloom_front/src/instance.rs
@@ -162,8 +162,10 @@
     let engine = Engine::new(rt, client.clone(), hooks, engine_settings(&settings));
     rt.spawn(share_strikes(exchange.clone(), engine.clone()));
     rt.spawn(strikes::save(rt, source.clone(), queue));
-    rt.spawn(strikes::restore(rt, source.clone(), exchange.clone()));
     let own = member(&settings);
+    let roster = Arc::new(Roster::new(own.candidate.clone()));
+    let restored = strikes::restore(rt, source.clone(), exchange.clone(), Arc::clone(&roster));
+    rt.spawn(restored);
     let (candidate, place) = (own.candidate.clone(), settings.place.clone());
     let homes = Homes::new(rt, candidate, place, client.memory());
     let sharing = Arc::new(Sharing {
@@ -177,7 +179,7 @@
         feed: Arc::default(),
     });
     let feed = Arc::clone(&sharing.feed);
-    follow(rt, source.clone(), own, &settings.place, &sharing);
+    follow(rt, source.clone(), own, roster, &settings.place, &sharing);
     let latest = sharing.latest.clone();
     rt.spawn(moves::run(rt, source, moves, latest, Arc::clone(&feed)));
     let stop = Stop::default();
@@ -288,6 +290,7 @@
     rt: AsyncStd,
     source: S,
     own: fleet::Member,
+    roster: Arc<Roster>,
     place: &Place,
     sharing: &Arc<Sharing<AsyncStd, D, H>>,
 ) where
@@ -295,7 +298,6 @@
     D: Dialect,
     H: Hooks,
 {
-    let roster = Arc::new(Roster::new(own.candidate.clone()));
     let sources = Sources {
         platform: source.clone(),
         peers: Peers::new(rt),
--- a/crates/marigoldloom_front/src/strikes.rs
+++ b/crates/marigoldloom_front/src/strikes.rs
@@ -6,9 +6,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::future;
+use marigoldloom_catalog::relay::{Role, Roster};
 use marigoldloom_catalog::source::{SavedEntry, Source};
 use marigoldloom_limits::fingerprint::{self, Fingerprint, Strikes};
-use marigoldloom_peers::exchange::{Entry, Space};
+use marigoldloom_peers::exchange::{Entry, Exchange, Space};
 use marigoldloom_query::hooks::StrikeChange;
 use marigoldloom_runtime::runtime::{self, Runtime};
 
@@ -21,8 +23,22 @@
 const RETRY_BASE: Duration = Duration::from_millis(500);
 const RETRY_CAP: Duration = Duration::from_secs(5);
 
-/// Shortest time between two reads of the saved strikes.
-const RESTORE_PAUSE: Duration = Duration::from_secs(1);
+/// Shortest and longest time between two reads of the saved strikes. The pause doubles with each
+/// read that follows the one before it within [`RESTORE_CAP`]: instances that have ended for good
+/// stay registered, and calls to the platform are expensive.
+const RESTORE_BASE: Duration = Duration::from_secs(1);
+const RESTORE_CAP: Duration = Duration::from_secs(30);
+
+/// Longest time for which a process that has just started waits for the list of instances, to read
+/// the strikes from them.
+const ROSTER_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Time between two checks whether the list of instances is known.
+const ROSTER_POLL: Duration = Duration::from_millis(50);
+
+/// Time for which the instances that watch the platform read the saved strikes before others ask
+/// them: all instances may have started at the same time.
+const WATCHER_LEAD: Duration = Duration::from_millis(700);
 
 /// Number of refused requests whose strikes may wait to be saved.
 pub(crate) const SAVE_QUEUE: usize = 64;
@@ -56,16 +72,51 @@
 }
 
 /// Reads the saved strikes into `exchange` at the start, and again whenever another instance can't be
-/// reached: the instances on the other side of a partition can't send theirs. Runs until it is
-/// dropped.
-pub(crate) async fn restore<R: Runtime, S: Source>(rt: R, source: S, exchange: PeerExchange<R>) {
+/// reached: the instances on the other side of a partition can't send theirs. Only instances that
+/// watch the platform read them there; the others get them from the instances that they poll for
+/// records. Runs until it is dropped.
+pub(crate) async fn restore<R: Runtime, S: Source>(
+    rt: R,
+    source: S,
+    exchange: PeerExchange<R>,
+    roster: Arc<Roster>,
+) {
+    let start = rt.now();
+    while roster.role(rt.now()) == Role::Unknown && rt.now().since(start) < ROSTER_TIMEOUT {
+        rt.sleep(ROSTER_POLL).await;
+    }
+    if matches!(roster.role(rt.now()), Role::Follower(_)) {
+        rt.sleep(WATCHER_LEAD).await;
+    }
+    let mut pause = RESTORE_BASE;
     loop {
-        restore_once(&rt, &source, &exchange).await;
+        if !restore_from_peers(&rt, &exchange, &roster).await {
+            restore_once(&rt, &source, &exchange).await;
+        }
+        let restored = rt.now();
+        rt.sleep(pause).await;
         exchange.until_unreachable().await;
-        rt.sleep(RESTORE_PAUSE).await;
+        pause = match rt.now().since(restored) > RESTORE_CAP {
+            true => RESTORE_BASE,
+            false => (2 * pause).min(RESTORE_CAP),
+        };
     }
 }
 
+/// Gets the strikes from the instances that this one polls for records. Returns false if it watches
+/// the platform itself or none of them answers.
+async fn restore_from_peers<R: Runtime>(
+    rt: &R,
+    exchange: &PeerExchange<R>,
+    roster: &Roster,
+) -> bool {
+    let Role::Follower(peers) = roster.role(rt.now()) else {
+        return false;
+    };
+    let pulls = peers.iter().map(|peer| exchange.pull(peer.address));
+    future::join_all(pulls).await.contains(&true)
+}
+
 /// Saves the entries of `queue`. Runs until the queue is closed.
 pub(crate) async fn save<R: Runtime, S: Source>(
     rt: R,
@@ -99,7 +150,7 @@
         let entry = serde_json::from_str::<Entry>(&content).ok();
         let live = |e: &Entry| e.expires.is_some_and(|at| at > rt.wall());
         match entry.filter(live) {
-            Some(entry) => exchange.restore(&entry),
+            Some(entry) => exchange.publish(entry),
             None => {
                 let removed = source.remove_entry(&name).await;
                 tracing::info!(%name, ok = removed.is_ok(), "expired strikes removed");
--- a/crates/marigoldloom_standin/src/users/store.rs
+++ b/crates/marigoldloom_standin/src/users/store.rs
@@ -48,6 +48,8 @@
     /// A watch since an earlier revision than this gets status 410.
     compacted: u64,
     calls: u64,
+    /// Number of reads of each kind, watches left out.
+    reads: BTreeMap<String, u64>,
 }
 
 struct Event {
@@ -201,6 +203,11 @@
         self.state().calls
     }
 
+    /// Returns the number of reads of `kind` so far, watches left out.
+    pub fn reads(&self, kind: &str) -> u64 {
+        self.state().reads.get(kind).copied().unwrap_or(0)
+    }
+
     async fn watch(&self, kind: &str, since: u64, wait: Duration) -> Response {
         let end = Instant::now() + wait;
         loop {
@@ -290,6 +297,9 @@
             return Response::new(StatusCode::NotFound);
         };
         let (kind, name) = path.split_once('/').unwrap_or((path, ""));
+        if request.method() == Method::Get && number(&url, "Watch").is_none() {
+            *self.state().reads.entry(kind.to_owned()).or_default() += 1;
+        }
         let body = || request.json::<Value>();
         match (mode, request.method(), number(&url, "Watch")) {
             (Mode::Unavailable, _, _) => Response::new(StatusCode::ServiceUnavailable),
