Move the writing of phases into the moves crate

No change of behaviour: the loop that evaluates moves and writes their phases was part of the front end and could only be tested with real instances. It now takes its orders and its platform through a trait, so that it runs on virtual time.

--- a/crates/marigoldloom_front/src/instance.rs
+++ b/crates/marigoldloom_front/src/instance.rs
@@ -15,6 +15,7 @@
 use marigoldloom_catalog::source::Source;
 use marigoldloom_limits::allowance::{Allowance, Sender};
 use marigoldloom_limits::cold;
+use marigoldloom_moves::phases;
 use marigoldloom_moves::plan::Exposure;
 use marigoldloom_peers::exchange::{Entry, Space};
 use marigoldloom_query::engine::{self, Engine};
@@ -37,7 +38,7 @@
 use crate::front::{self, Front};
 use crate::homes::{self, Homes};
 use crate::listener::{self, Handler, Stop};
-use crate::moves::{self, Moves, Versions};
+use crate::moves::{Moves, Versions, ViewOrders};
 use crate::records::Peers;
 use crate::sharing::Sharing;
 use crate::strikes;
@@ -173,8 +174,12 @@
     });
     let feed = Arc::clone(&sharing.feed);
     follow(rt, source.clone(), own, &settings.place, &sharing);
-    let latest = sharing.latest.clone();
-    rt.spawn(moves::run(rt, source, moves, latest, Arc::clone(&feed)));
+    let orders = ViewOrders {
+        source,
+        latest: sharing.latest.clone(),
+        feed: Arc::clone(&feed),
+    };
+    rt.spawn(phases::run(rt, moves, orders));
     let stop = Stop::default();
     let latest = sharing.latest.clone();
     let front = Front::new(front::Shared {
