--- a/crates/marigoldloom_moves/src/phases.rs
+++ b/crates/marigoldloom_moves/src/phases.rs
@@ -5,25 +5,47 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::StreamExt;
+use futures::channel::mpsc;
 use marigoldloom_peers::exchange::Exchange;
 use marigoldloom_records::version_move::{Order, Phase};
 use marigoldloom_runtime::runtime::{self, Runtime};
-use marigoldloom_runtime::time::Timestamp;
+use marigoldloom_runtime::time::{self, Timestamp};
 
 use crate::window::{TICK_INTERVAL, WindowedMoves};
 
 /// Interval between two checks for orders while there are none.
 const IDLE_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Longest random delay before an instance that has evidence about a move writes its phase. Most
-/// instances then find it written. The end of a move is due within [`TICK_INTERVAL`].
-const WRITE_SPREAD: Duration = Duration::from_millis(100);
+/// Time between the first writes of a final phase by instances with evidence. Most of them then find
+/// it written.
+const RANK_DELAY: Duration = Duration::from_millis(40);
 
-/// Delay and its longest random addition before an instance without evidence writes a phase.
-const FALLBACK_DELAY: Duration = Duration::from_secs(3);
+/// Number of instances with evidence that write at the same time, except for the first.
+const RANK_WRITERS: usize = 2;
 
-/// Pause after a failed write.
-const RETRY_PAUSE: Duration = Duration::from_millis(500);
+/// Time between the first writes of other phases, which are not urgent.
+const RUNNING_RANK_DELAY: Duration = Duration::from_millis(200);
+
+/// Delay before other phases are written, in which instances learn of each other's evidence.
+const RUNNING_DELAY: Duration = Duration::from_secs(1);
+
+/// Delay and its longest random addition before an instance without evidence writes a final phase.
+const FALLBACK_DELAY: Duration = Duration::from_millis(400);
+const FALLBACK_SPREAD: Duration = Duration::from_secs(2);
+
+/// Delay and its longest random addition before an instance without evidence writes another phase.
+const RUNNING_FALLBACK: Duration = Duration::from_secs(3);
+
+/// Time without an answer after which a write is sent again, beside the first one. It doubles with
+/// each write.
+const ANSWER_TIME: Duration = Duration::from_millis(250);
+
+/// Base of the backoff after a failed write.
+const RETRY_BASE: Duration = Duration::from_millis(50);
+
+/// Longest time between two writes of a phase.
+const RETRY_CAP: Duration = Duration::from_secs(1);
 
 /// Where an instance learns of orders and writes their phases.
 pub trait Orders: Clone + Send + Sync + 'static {
@@ -47,37 +69,107 @@
 /// Evaluates the moves and writes their phases. Runs until it is dropped.
 pub async fn run<R: Runtime, X: Exchange>(rt: R, moves: WindowedMoves<R, X>, orders: impl Orders) {
     let mut writes = Writes::default();
+    let (finished, mut results) = mpsc::unbounded();
     loop {
         let known = orders.current();
-        let due = moves.tick(&known, orders.is_connected());
-        for order in writes.take_due(&rt, &moves, due) {
-            let (orders, phase) = (orders.clone(), order.phase.unwrap_or_default());
-            rt.spawn(async move { write(&orders, &order, phase).await });
+        let unwritten = moves.tick(&known, orders.is_connected());
+        for order in writes.take_due(&rt, &moves, unwritten) {
+            let (orders, finished) = (orders.clone(), finished.clone());
+            let clock = rt.clone();
+            rt.spawn(async move {
+                let written = write(&clock, &orders, &order).await;
+                // The loop may have ended.
+                let _ = finished.unbounded_send((key(&order), written));
+            });
         }
         let interval = match known.is_empty() {
             true => IDLE_INTERVAL,
             false => TICK_INTERVAL,
         };
-        rt.sleep(interval).await;
+        let stage = moves.until_next_stage().unwrap_or(interval);
+        let write = writes.until_next(&rt, &moves).unwrap_or(interval);
+        let wait = interval.min(stage).min(write);
+        if let Ok(Some((key, written))) = runtime::timeout(&rt, wait, results.next()).await {
+            writes.record_result(&rt, &key, written);
+        }
     }
 }
 
-async fn write(orders: &impl Orders, order: &Order, phase: Phase) {
+/// Writes the phase of `order`. Returns whether that succeeded.
+async fn write(rt: &impl Runtime, orders: &impl Orders, order: &Order) -> bool {
+    let phase = order.phase.unwrap_or_default();
+    let start = rt.now();
     let result = orders.set_phase(order, phase).await;
     let error = result.as_ref().err().map(tracing::field::display);
     tracing::info!(
         service = %order.service,
         version = %order.version,
         ?phase,
+        took_ms = time::millis(rt.now().since(start)),
         error,
         "phase of a version move written"
     );
+    result.is_ok()
 }
 
-/// When the phases that are not written yet are due.
+/// Name of a move and the phase to write.
+type Key = (Arc<str>, Phase);
+
+fn key(order: &Order) -> Key {
+    (Arc::clone(&order.name), order.phase.unwrap_or_default())
+}
+
+/// The writes of phases that the platform doesn't state yet.
 #[derive(Debug, Default)]
 struct Writes {
-    planned: BTreeMap<(Arc<str>, Phase), Timestamp>,
+    planned: BTreeMap<Key, Write>,
+}
+
+/// When a phase is written next.
+#[derive(Clone, Copy, Debug)]
+enum Write {
+    /// For the first time here. The order among the instances depends on their evidence.
+    First {
+        /// When the phase became due.
+        since: Timestamp,
+        /// Delay if this instance has no evidence.
+        fallback: Duration,
+    },
+    /// Again, because the platform doesn't state it by then.
+    Again {
+        at: Timestamp,
+        /// Number of writes so far.
+        count: u32,
+    },
+}
+
+impl Write {
+    fn at<R: Runtime, X: Exchange>(self, key: &Key, moves: &WindowedMoves<R, X>) -> Timestamp {
+        match self {
+            Self::First { since, fallback } => {
+                let rank = moves.write_rank(&key.0);
+                since + rank.map_or(fallback, |rank| rank_delay(key.1, rank))
+            }
+            Self::Again { at, .. } => at,
+        }
+    }
+}
+
+/// Returns the delay of an instance's first write if `rank` others write before it.
+fn rank_delay(phase: Phase, rank: usize) -> Duration {
+    let turn = u32::try_from(rank.div_ceil(RANK_WRITERS)).unwrap_or(u32::MAX);
+    match phase {
+        Phase::Running => RUNNING_DELAY.saturating_add(RUNNING_RANK_DELAY.saturating_mul(turn)),
+        Phase::Done | Phase::TakenBack => RANK_DELAY.saturating_mul(turn),
+    }
+}
+
+fn fallback_delay(rt: &impl Runtime, phase: Phase) -> Duration {
+    let (delay, spread) = match phase {
+        Phase::Running => (RUNNING_FALLBACK, RUNNING_FALLBACK),
+        Phase::Done | Phase::TakenBack => (FALLBACK_DELAY, FALLBACK_SPREAD),
+    };
+    delay + runtime::backoff(rt, 0, spread, spread)
 }
 
 impl Writes {
@@ -86,27 +178,59 @@
         &mut self,
         rt: &R,
         moves: &WindowedMoves<R, X>,
-        orders: Vec<Order>,
+        unwritten: Vec<Order>,
     ) -> Vec<Order> {
         let now = rt.now();
-        let key = |order: &Order| (Arc::clone(&order.name), order.phase.unwrap_or_default());
         self.planned
-            .retain(|planned, _| orders.iter().any(|order| key(order) == *planned));
-        let due = orders.into_iter().filter(|order| {
-            let delay = || match moves.has_evidence(&order.name) {
-                true => runtime::backoff(rt, 0, WRITE_SPREAD, WRITE_SPREAD),
-                false => FALLBACK_DELAY + runtime::backoff(rt, 0, FALLBACK_DELAY, FALLBACK_DELAY),
+            .retain(|planned, _| unwritten.iter().any(|order| key(order) == *planned));
+        let due = unwritten.into_iter().filter(|order| {
+            let key = key(order);
+            let first = || Write::First {
+                since: now,
+                fallback: fallback_delay(rt, key.1),
             };
-            let at = self
-                .planned
-                .entry(key(order))
-                .or_insert_with(|| now + delay());
-            let is_due = *at <= now;
+            let write = self.planned.entry(key.clone()).or_insert_with(first);
+            let is_due = write.at(&key, moves) <= now;
             if is_due {
-                *at = now + RETRY_PAUSE;
+                let count = match *write {
+                    Write::First { .. } => 1,
+                    Write::Again { count, .. } => count.saturating_add(1),
+                };
+                let pause = ANSWER_TIME.saturating_mul(1 << (count - 1).min(16));
+                let at = now + pause.min(RETRY_CAP);
+                *write = Write::Again { at, count };
             }
             is_due
         });
         due.collect()
     }
+
+    /// Plans the next write of a phase after one has ended.
+    fn record_result(&mut self, rt: &impl Runtime, key: &Key, written: bool) {
+        if let Some(Write::Again { at, count }) = self.planned.get_mut(key) {
+            let now = rt.now();
+            *at = match written {
+                // Until then this instance has learned of it.
+                true => now + RETRY_CAP,
+                false => (now + retry_pause(rt, *count)).min(*at),
+            };
+        }
+    }
+
+    /// Returns the time until the next write; `None` if none is planned.
+    fn until_next<R: Runtime, X: Exchange>(
+        &self,
+        rt: &R,
+        moves: &WindowedMoves<R, X>,
+    ) -> Option<Duration> {
+        let times = self.planned.iter().map(|(key, write)| write.at(key, moves));
+        times.min().map(|at| at.since(rt.now()))
+    }
+}
+
+/// Returns the pause after the failure of the last of `count` writes.
+fn retry_pause(rt: &impl Runtime, count: u32) -> Duration {
+    let base = RETRY_BASE.saturating_mul(1 << (count - 1).min(16));
+    let half = base.min(RETRY_CAP) / 2;
+    half + runtime::backoff(rt, 0, half, half)
 }
--- a/crates/marigoldloom_moves/src/window.rs
+++ b/crates/marigoldloom_moves/src/window.rs
@@ -240,13 +240,26 @@
         due
     }
 
-    /// Returns whether this instance has evidence of its own about the move `name`.
-    pub fn has_evidence(&self, name: &str) -> bool {
+    /// Returns how many instances with evidence about the move `name` write its phase before this
+    /// one; `None` if this one has no evidence.
+    pub(crate) fn write_rank(&self, name: &str) -> Option<usize> {
         let state = self.state();
-        state
-            .reports
-            .get(name)
-            .is_some_and(|report| !report.routes.is_empty())
+        let report = state.reports.get(name)?;
+        let active = state.moves.get(name)?;
+        let own = format!("{name}/{}", self.inner.writer);
+        let order = |writer: &str| share::hash(writer, 0);
+        let before = active.merged.writers();
+        let before = before.filter(|writer| order(writer) < order(&own));
+        (!report.routes.is_empty()).then(|| before.count())
+    }
+
+    /// Returns the time until a stage of a move begins or ends; `None` if none will.
+    pub(crate) fn until_next_stage(&self) -> Option<Duration> {
+        let now = self.inner.rt.now();
+        let state = self.state();
+        let moves = state.moves.values().filter(|m| m.decided.is_none());
+        let times = moves.filter_map(|active| active.plan.until_next(now.since(active.start)));
+        times.min()
     }
 
     fn table(&self) -> Arc<Table> {
@@ -279,6 +292,8 @@
             active.plan.set_rate(elapsed, merged.rate());
             active.merged = merged;
             own.elapsed_ms = time::millis(elapsed);
+            active.switch(elapsed);
+            own.done |= active.proven;
             self.publish(active, &writer, own, now);
         }
         let elapsed = now.since(active.start);
