End the load test of a version without waiting for a tick

Callers could get a bad version more often than the bound allows: an instance that serves requests but lacks the time for its ticks (0.39 s between two of them beside load 22) went on sending all first attempts to the new version after the load test, for up to 1 s.

The table of shares now holds when the test ends and what follows.

--- a/crates/marigoldloom_moves/src/plan.rs
+++ b/crates/marigoldloom_moves/src/plan.rs
@@ -124,7 +124,8 @@
         Duration::from_secs_f64((allowed - others).clamp(0.0, longest))
     }
 
-    fn load_end(&self) -> Duration {
+    /// Returns the time from the start of the window to the end of the load test.
+    pub(crate) fn load_end(&self) -> Duration {
         self.verdict_at().saturating_sub(VERDICT_TIME)
     }
 
--- a/crates/marigoldloom_moves/src/window.rs
+++ b/crates/marigoldloom_moves/src/window.rs
@@ -77,12 +77,23 @@
     step: Step,
     /// Share of the requests that go to the target, in thousandths.
     share: u64,
+    /// When the share ends, and the one that follows even if no tick comes.
+    next: Option<(Timestamp, u64)>,
     /// Whether retries go to the target, too.
     decided: bool,
     /// Versions that get no requests otherwise.
     excluded: Arc<BTreeSet<Arc<str>>>,
 }
 
+impl Split {
+    fn share_at(&self, now: Timestamp) -> u64 {
+        match self.next {
+            Some((at, share)) if now >= at => share.min(self.share),
+            _ => self.share,
+        }
+    }
+}
+
 #[derive(Debug, Default)]
 struct Table {
     built_at: Timestamp,
@@ -153,8 +164,9 @@
         let Some(split) = table.splits.get(service) else {
             return topology::VersionFilter::default();
         };
-        let fresh = self.inner.rt.now().since(table.built_at) <= MAX_AGE;
-        let chosen = match split.share {
+        let now = self.inner.rt.now();
+        let fresh = now.since(table.built_at) <= MAX_AGE;
+        let chosen = match split.share_at(now) {
             0 => false,
             ALL if split.decided && fresh => true,
             share => first && fresh && is_chosen(&split.name, request, share),
@@ -352,6 +364,7 @@
                 target: Arc::clone(&active.order.version),
                 step,
                 share: if usable || active.switched { share } else { 0 },
+                next: active.share_after_test(now),
                 decided: active.switched || active.decided == Some(Phase::Done),
                 excluded: Arc::new(excluded),
             };
@@ -363,6 +376,7 @@
                 target: Arc::default(),
                 step: Step::None,
                 share: 0,
+                next: None,
                 decided: false,
                 excluded: Arc::new(rejected.clone()),
             });
--- a/crates/marigoldloom_moves/src/window/active_move.rs
+++ b/crates/marigoldloom_moves/src/window/active_move.rs
@@ -208,6 +208,13 @@
         }
     }
 
+    /// Returns when the load test ends and the share of requests that follows, in thousandths; `None`
+    /// while there is no load test.
+    pub(super) fn share_after_test(&self, now: Timestamp) -> Option<(Timestamp, u64)> {
+        let testing = self.decided.is_none() && self.stage(now) == Stage::LoadTest;
+        testing.then(|| (self.start + self.plan.load_end(), self.plan.trial_share()))
+    }
+
     /// Returns the order with the phase that its status must state; `None` if it states that.
     pub(super) fn due_status(&self) -> Option<Order> {
         let phase = Some(self.decided.unwrap_or(Phase::Running));
