Find a slow version while the old one is slow at times

Callers stayed with a version that took 50 ms instead of 5 ms for half of its requests, and its move was completed, when some replies of the old version were slow as well.

Four times the median is a limit now, too. Where the 90th percentile is below twice the median nothing changes.

--- a/crates/marigoldloom_front/src/decisions.rs
+++ b/crates/marigoldloom_front/src/decisions.rs
@@ -2,7 +2,6 @@
 //! instances must know.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use marigoldloom_moves::window;
 use marigoldloom_peers::exchange::{Entry, Exchange};
@@ -17,9 +16,6 @@
 use crate::moves::Moves;
 use crate::strikes;
 
-/// Latency of a slow reply during a version move, as a multiple of the delay before a hedge.
-const SLOW_FACTOR: u32 = 2;
-
 /// Logs each decision of the engine and each failed attempt, and counts all attempts. Passes
 /// attempts to the version moves, and strikes to the other instances.
 pub(crate) struct DecisionLog<R> {
@@ -50,16 +46,11 @@
             failed,
             slow: attempt
                 .slow_after
-                .map(|limit| is_slow(attempt.latency, limit)),
+                .map(|limit| window::is_slow(attempt.latency, limit, attempt.median)),
         });
     }
 }
 
-/// Returns whether a reply is slow enough to tell against the version of its upstream.
-fn is_slow(latency: Duration, limit: Duration) -> bool {
-    latency > limit * SLOW_FACTOR
-}
-
 const fn origin<'a>(attempt: &OpenAttempt<'a>) -> window::Origin<'a> {
     window::Origin {
         service: attempt.shard_service,
@@ -76,7 +67,7 @@
     fn attempt_abandoned(&self, attempt: &OpenAttempt<'_>) {
         match attempt.slow_after {
             // It would have been slow, whatever its result.
-            Some(limit) if is_slow(attempt.latency, limit) => {
+            Some(limit) if window::is_slow(attempt.latency, limit, attempt.median) => {
                 self.moves.observe(&window::Attempt {
                     origin: origin(attempt),
                     failed: false,
--- a/crates/marigoldloom_query/src/attempt.rs
+++ b/crates/marigoldloom_query/src/attempt.rs
@@ -47,6 +47,8 @@
     started: Timestamp,
     /// A reply that takes longer, or an attempt abandoned after at least this time, is slow.
     slow_after: Duration,
+    /// Median latency of the route at the start, if it was known.
+    median: Option<Duration>,
     /// Replicated service of the shard.
     shard_service: Arc<str>,
     route: Arc<str>,
@@ -60,6 +62,7 @@
     pub(crate) purpose: hooks::Purpose,
     /// A reply that takes longer is slow.
     pub(crate) slow_after: Duration,
+    pub(crate) median: Option<Duration>,
     pub(crate) shard_service: &'a Arc<str>,
     pub(crate) route: &'a Arc<str>,
 }
@@ -106,6 +109,7 @@
             health: selected.health,
             started: now,
             slow_after: origin.slow_after,
+            median: origin.median,
             shard_service: Arc::clone(origin.shard_service),
             route: Arc::clone(origin.route),
             pending: true,
@@ -182,6 +186,7 @@
                 purpose: self.purpose,
                 latency,
                 slow_after: (!self.cold).then_some(self.slow_after),
+                median: self.median,
                 failure: result.as_ref().err().map(answer::Reason::from),
             });
     }
@@ -195,6 +200,7 @@
             version: &self.replica.version,
             latency: self.core.rt.now().since(self.started),
             slow_after: (!self.cold).then_some(self.slow_after),
+            median: self.median,
         }
     }
 
