Count a crash that leaves connections open against its request

Cause: only a lost connection led to a look at the upstream's address. A run that ends at its time limit, or whose caller leaves, said nothing about the upstream.

It is a strike if the upstream's address refuses connections, its record vanishes without draining, or its record names another process. Until that is known, each upstream that has sent nothing since counts towards the limit for 5 s at most, at all instances; the refusal has Retry-After 1. A slow upstream adds no strike, and a run that an upstream survives clears all of it. The daemon, which counts strikes in another way, is unchanged.

--- a/crates/marigoldloom_front/src/client.rs
+++ b/crates/marigoldloom_front/src/client.rs
@@ -265,6 +265,14 @@
     ) -> Result<Reply, Error> {
         self.exchange(target, subquery, admit).await
     }
+
+    async fn has_ended(&self, target: &Target) -> bool {
+        let channel = self.channels().get(target).cloned();
+        match channel {
+            Some(channel) => explain_loss(&channel.pool).await == Error::Ended,
+            None => false,
+        }
+    }
 }
 
 /// Finds out after a lost connection whether the upstream's process has ended. A new connection is
--- a/crates/marigoldloom_front/src/decisions.rs
+++ b/crates/marigoldloom_front/src/decisions.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use marigoldloom_limits::fingerprint::{Fingerprint, Silence};
 use marigoldloom_moves::window;
 use marigoldloom_peers::exchange::{Entry, Exchange};
 use marigoldloom_query::answer::Reason;
@@ -113,6 +114,7 @@
             upstream = change.upstream,
             own = change.own.count,
             total = change.total,
+            evidence = change.evidence,
             "strikes of a request changed"
         );
         let entry = strikes::entry(change.fingerprint, change.own, &self.writer);
@@ -123,6 +125,12 @@
         }
     }
 
+    fn silence_changed(&self, fingerprint: Fingerprint, silence: Silence) {
+        tracing::info!(%fingerprint, silent = silence.silent, "silent upstreams of a request changed");
+        let entry = strikes::silence_entry(fingerprint, silence, &self.writer);
+        self.exchange.publish(entry);
+    }
+
     fn decision_made(&self, decision: &Decision<'_>) {
         self.metrics.record_decision(decision.kind);
         tracing::info!(
--- a/crates/marigoldloom_front/src/instance.rs
+++ b/crates/marigoldloom_front/src/instance.rs
@@ -274,6 +274,10 @@
         if let Some((fingerprint, writer, strikes)) = strikes.and_then(strikes::parse) {
             engine.merge_strikes(writer, fingerprint, strikes);
         }
+        let silence = Some(entry).filter(|e| e.space == Space::Strike);
+        if let Some((fingerprint, writer, silence)) = silence.and_then(strikes::parse_silence) {
+            engine.merge_silence(writer, fingerprint, silence);
+        }
     };
     exchange.run(apply).await;
 }
--- a/crates/marigoldloom_front/src/strikes.rs
+++ b/crates/marigoldloom_front/src/strikes.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use marigoldloom_catalog::source::{SavedEntry, Source};
-use marigoldloom_limits::fingerprint::{self, Fingerprint, Strikes};
+use marigoldloom_limits::fingerprint::{self, Fingerprint, Silence, Strikes};
 use marigoldloom_peers::exchange::{Entry, Space};
 use marigoldloom_query::hooks::StrikeChange;
 use marigoldloom_runtime::runtime::{self, Runtime};
@@ -17,6 +17,9 @@
 /// Writer of strikes that were read from the platform.
 const SAVED: &str = "saved";
 
+/// End of the names of entries with numbers of silent upstreams.
+const SILENCE_SUFFIX: &str = "/silence";
+
 /// Shortest and longest pause before a failed call to the platform is retried.
 const RETRY_BASE: Duration = Duration::from_millis(500);
 const RETRY_CAP: Duration = Duration::from_secs(5);
@@ -46,6 +49,27 @@
     Some((fingerprint.parse().ok()?, writer, strikes))
 }
 
+/// Returns the entry by which the process `writer` publishes the number of silent upstreams.
+pub(crate) fn silence_entry(fingerprint: Fingerprint, silence: Silence, writer: &str) -> Entry {
+    let value = serde_json::to_string(&silence).ok();
+    Entry {
+        space: Space::Strike,
+        name: Arc::from(format!("{fingerprint}/{writer}{SILENCE_SUFFIX}")),
+        stamp: silence.latest.0,
+        value: value.map(Arc::from),
+        expires: Some(silence.latest + fingerprint::SILENCE_TIME),
+    }
+}
+
+/// Decodes the fingerprint, the writer and the number of silent upstreams of an entry; `None` if it
+/// is malformed.
+pub(crate) fn parse_silence(entry: &Entry) -> Option<(Fingerprint, &str, Silence)> {
+    let (fingerprint, writer) = entry.name.split_once('/')?;
+    let silence = serde_json::from_str(entry.value.as_deref()?).ok()?;
+    let writer = writer.strip_suffix(SILENCE_SUFFIX)?;
+    Some((fingerprint.parse().ok()?, writer, silence))
+}
+
 /// Returns the entry to save if `change` makes instances refuse the request.
 pub(crate) fn saved_entry(change: &StrikeChange<'_>) -> Option<Entry> {
     let strikes = Strikes {
--- a/crates/marigoldloom_limits/src/fingerprint.rs
+++ b/crates/marigoldloom_limits/src/fingerprint.rs
@@ -23,6 +23,13 @@
 /// until this time has passed since the latest of them.
 pub const QUARANTINE: Duration = Duration::from_secs(600);
 
+/// Time for which an upstream that is silent after a run counts like a strike. It is known by then
+/// whether it crashed.
+pub const SILENCE_TIME: Duration = Duration::from_secs(5);
+
+/// Time after which a request may be tried again that is refused because of silent upstreams.
+pub const SILENCE_PAUSE: Duration = Duration::from_secs(1);
+
 /// Maximum number of fingerprints with strikes, each for own strikes and for those of peers. The
 /// oldest are dropped first.
 const MAX_STRUCK: usize = 4_096;
@@ -69,6 +76,17 @@
     pub latest: time::WallTime,
 }
 
+/// Upstreams that one instance sent a request to and that have been silent since.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub struct Silence {
+    /// Number of upstreams.
+    pub silent: u32,
+    /// When the number changed.
+    pub latest: time::WallTime,
+}
+
 /// What is known about a fingerprint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Status {
@@ -91,6 +109,7 @@
 struct Inner {
     own: BTreeMap<Fingerprint, OwnStrikes>,
     peers: BTreeMap<Fingerprint, BTreeMap<Arc<str>, Strikes>>,
+    silence: BTreeMap<Fingerprint, BTreeMap<Arc<str>, Silence>>,
     /// Harmless fingerprints of the current generation.
     harmless: BTreeSet<Fingerprint>,
     /// Harmless fingerprints of the previous generation.
@@ -160,6 +179,33 @@
         }
     }
 
+    /// Sets the number of upstreams that were silent after a run at the instance `origin`, unless a
+    /// later one is known.
+    pub fn merge_silence(&self, origin: &str, fingerprint: Fingerprint, silence: Silence) {
+        let mut inner = self.lock();
+        if inner.silence.len() >= MAX_STRUCK {
+            inner.silence.pop_first();
+        }
+        let origins = inner.silence.entry(fingerprint).or_default();
+        let known = origins.entry(Arc::from(origin)).or_default();
+        if silence.latest >= known.latest {
+            *known = silence;
+        }
+        origins.retain(|_, s| s.silent > 0);
+        if origins.is_empty() {
+            inner.silence.remove(&fingerprint);
+        }
+    }
+
+    /// Returns the number of upstreams that have been silent after runs at other instances.
+    pub fn silent_count(&self, now: time::WallTime, fingerprint: Fingerprint) -> u32 {
+        let inner = self.lock();
+        let origins = inner.silence.get(&fingerprint);
+        let live = origins.into_iter().flat_map(BTreeMap::values);
+        let live = live.filter(|s| now.since(s.latest) < SILENCE_TIME);
+        live.map(|s| s.silent).sum()
+    }
+
     /// Uses the one retry that a fingerprint has after a lost connection. Returns false if it has
     /// been used. A fingerprint without strikes of this instance may always retry.
     pub fn take_retry(&self, fingerprint: Fingerprint) -> bool {
--- a/crates/marigoldloom_query/src/attempt.rs
+++ b/crates/marigoldloom_query/src/attempt.rs
@@ -1,7 +1,7 @@
 //! A single attempt to run a subquery on a replica.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::Duration;
 
 use marigoldloom_routing::{health, topology};
@@ -43,7 +43,9 @@
     pub(crate) start_id: Option<u64>,
     /// Whether the replica was in cold start when it was selected.
     pub(crate) cold: bool,
-    health: Arc<health::Health>,
+    /// Whether the subquery was handed to a connection.
+    pub(crate) sent: Arc<AtomicBool>,
+    pub(crate) health: Arc<health::Health>,
     started: Timestamp,
     /// A reply that takes longer, or an attempt abandoned after at least this time, is slow.
     slow_after: Duration,
@@ -103,6 +105,7 @@
             deadline: selected.deadline,
             start_id: selected.view.start_id.filter(|_| !selected.view.cold),
             cold: selected.view.cold,
+            sent: Arc::default(),
             health: selected.health,
             started: now,
             slow_after: origin.slow_after,
@@ -123,7 +126,11 @@
         error_replies: ErrorReplies,
     ) -> Result<message::Reply, upstream::Error> {
         subquery.deadline = self.deadline;
-        let admit = || self.may_send(&subquery);
+        let admit = || {
+            let admitted = self.may_send(&subquery);
+            self.sent.fetch_or(admitted, Ordering::Relaxed);
+            admitted
+        };
         let upstream = &self.core.upstream;
         let reply = upstream.send(&self.replica.target, &subquery, admit);
         let reply = runtime::timeout_at(&self.core.rt, self.deadline, reply).await;
--- a/crates/marigoldloom_query/src/crashes.rs
+++ b/crates/marigoldloom_query/src/crashes.rs
@@ -1,15 +1,85 @@
 //! Counts crashes of upstreams against the requests that they ran.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use marigoldloom_limits::fingerprint;
+use marigoldloom_routing::health;
 use marigoldloom_runtime::runtime::Runtime;
 use marigoldloom_upstream::{message, upstream};
 
-use crate::engine;
 use crate::hooks::Hooks;
 use crate::shard::Query;
+use crate::silence::{End, Run, Suspect};
+use crate::state::Core;
+use crate::{attempt, engine};
+
+/// Counts the end of an upstream during an attempt as a strike against the request, unless another
+/// upstream has run the request without a crash. Part of the attempt, because that may outlive the
+/// query.
+pub(crate) struct Watch<R: Runtime, U: upstream::Upstream, H: Hooks> {
+    core: Arc<Core<R, U, H>>,
+    run: Run,
+    health: Arc<health::Health>,
+    /// Whether the subquery was handed to a connection.
+    sent: Arc<AtomicBool>,
+    /// Why there is no result; `None` if there is one.
+    end: Option<End>,
+}
+
+impl<R: Runtime, U: upstream::Upstream, H: Hooks> Watch<R, U, H> {
+    /// Runs `attempt` and counts a strike if its upstream ended.
+    pub(crate) async fn watch(
+        mut self,
+        attempt: impl Future<Output = Result<message::Reply, upstream::Error>> + Send,
+    ) -> Result<message::Reply, upstream::Error> {
+        let result = attempt.await;
+        self.end = match &result {
+            Err(upstream::Error::TimedOut) => Some(End::TimedOut),
+            Err(upstream::Error::Lost) => Some(End::Lost),
+            _ => None,
+        };
+        if self.core.settings.canary != engine::CanaryPolicy::AfterStrike {
+            return result;
+        }
+        let survived = match &result {
+            Ok(_) => true,
+            Err(error) => error.survived(),
+        };
+        match &result {
+            Err(upstream::Error::Ended) => {
+                let evidence = "a connection was lost and its address refuses new ones";
+                self.core.record_end(&self.run, evidence);
+            }
+            _ if survived && !self.run.survived.swap(true, Ordering::Relaxed) => {
+                for fingerprint in self.run.fingerprints() {
+                    self.core.clear_strikes(fingerprint);
+                }
+            }
+            _ => {}
+        }
+        result
+    }
+}
+
+impl<R: Runtime, U: upstream::Upstream, H: Hooks> Drop for Watch<R, U, H> {
+    /// Keeps an eye on an upstream that gave no response: it may have crashed.
+    fn drop(&mut self) {
+        let counted = self.core.settings.canary == engine::CanaryPolicy::AfterStrike;
+        let survived = self.run.survived.load(Ordering::Relaxed);
+        match self.end {
+            Some(end) if counted && !survived && self.sent.load(Ordering::Relaxed) => {
+                self.core.suspect(Suspect {
+                    run: self.run.clone(),
+                    health: Arc::clone(&self.health),
+                    since: self.core.rt.now(),
+                    end,
+                });
+            }
+            _ => {}
+        }
+    }
+}
 
 impl<R: Runtime, U: upstream::Upstream, H: Hooks> Query<'_, R, U, H> {
     /// Fingerprints under which crashes are counted.
@@ -33,45 +103,30 @@
         self.fingerprints().for_each(|f| self.core.clear_strikes(f));
     }
 
-    /// Counts the end of an upstream during `attempt` as a strike against the fingerprint, unless
-    /// another upstream has run the request without a crash. Happens in the attempt itself, because
-    /// it may outlive the query.
-    pub(crate) fn watch_crash<F>(
+    /// Returns what counts the end of the reserved upstream as a strike against the request.
+    pub(crate) fn crash_watch(
         &self,
-        upstream: Arc<str>,
-        attempt: F,
-    ) -> impl Future<Output = Result<message::Reply, upstream::Error>> + Send + use<F, R, U, H>
-    where
-        F: Future<Output = Result<message::Reply, upstream::Error>> + Send,
-    {
-        let core = Arc::clone(self.core);
-        let (fingerprints, survived) = (self.fingerprints(), Arc::clone(&self.survived));
-        async move {
-            let result = attempt.await;
-            if core.settings.canary != engine::CanaryPolicy::AfterStrike {
-                return result;
-            }
-            match &result {
-                Err(upstream::Error::Ended) if !survived.load(Ordering::Relaxed) => {
-                    for fingerprint in fingerprints {
-                        core.add_strike(fingerprint, Some(&upstream));
-                    }
-                }
-                Ok(_) if !survived.swap(true, Ordering::Relaxed) => {
-                    fingerprints.for_each(|f| core.clear_strikes(f));
-                }
-                Err(error) if error.survived() && !survived.swap(true, Ordering::Relaxed) => {
-                    fingerprints.for_each(|f| core.clear_strikes(f));
-                }
-                _ => {}
-            }
-            result
+        reservation: &attempt::Reservation<R, U, H>,
+    ) -> Watch<R, U, H> {
+        Watch {
+            core: Arc::clone(self.core),
+            run: Run {
+                fingerprints: [Some(self.fingerprint), self.call_fingerprint],
+                service: Arc::clone(&self.request.service),
+                replica: Arc::clone(&reservation.replica),
+                survived: Arc::clone(&self.survived),
+            },
+            health: Arc::clone(&reservation.health),
+            sent: Arc::clone(&reservation.sent),
+            end: Some(End::Abandoned),
         }
     }
 
-    /// Whether an upstream crashed while it ran a request with this fingerprint.
+    /// Whether an upstream crashed, or may have crashed, while it ran a request with this
+    /// fingerprint.
     pub(crate) fn has_strikes(&self) -> bool {
-        self.strike_count() > 0
+        self.fingerprints()
+            .any(|f| self.core.suspected_count(f) > 0)
     }
 
     /// Whether the request may crash its upstreams. A hedge would then take down the second
@@ -86,7 +141,7 @@
 
     /// Handles a lost connection. Returns whether the subquery may be retried.
     ///
-    /// If canaries run after strikes only, [`Self::watch_crash`] counts the strikes, and retries end
+    /// If canaries run after strikes only, [`Watch`] counts the strikes, and retries end
     /// at the limit. Otherwise each lost connection counts. A request that ran elsewhere without a
     /// crash was then probably affected by another request's crash or by the loss of a failure
     /// domain: it gets at most one strike and its shards may be retried. Any other fingerprint has a
@@ -103,7 +158,8 @@
         // A connection reset can hit many attempts at once, so only the first one counts.
         if !self.strike_recorded.swap(true, Ordering::Relaxed) || !harmless {
             for fingerprint in self.fingerprints() {
-                self.core.add_strike(fingerprint, None);
+                self.core
+                    .add_strike(fingerprint, None, "a connection was lost");
             }
         }
         harmless || !needs_canary && self.core.crash_tracker.take_retry(self.fingerprint)
--- a/crates/marigoldloom_query/src/engine.rs
+++ b/crates/marigoldloom_query/src/engine.rs
@@ -182,6 +182,18 @@
         shards.is_some_and(|shards| (0..shards.total()).any(|s| all_unknown(shards, s)))
     }
 
+    /// Sets the number of upstreams that the instance `origin` sent a request with a fingerprint to
+    /// and that have been silent since.
+    pub fn merge_silence(
+        &self,
+        origin: &str,
+        fingerprint: fingerprint::Fingerprint,
+        silence: fingerprint::Silence,
+    ) {
+        let tracker = &self.core.crash_tracker;
+        tracker.merge_silence(origin, fingerprint, silence);
+    }
+
     /// Merges the strikes that the instance `origin` recorded for a fingerprint.
     pub fn merge_strikes(
         &self,
--- a/crates/marigoldloom_query/src/gather.rs
+++ b/crates/marigoldloom_query/src/gather.rs
@@ -208,10 +208,16 @@
         let now = self.core.rt.wall();
         let mut harmless = true;
         for fingerprint in self.fingerprints() {
+            let silent = self.core.suspected_count(fingerprint) >= fingerprint::STRIKE_LIMIT;
             match self.core.crash_tracker.status(now, fingerprint) {
                 fingerprint::Status::Quarantined(left) => {
                     return Err(self.refusal(Kind::Quarantined).with_retry_after(left));
                 }
+                // Whether the upstreams crashed is known soon.
+                _ if silent => {
+                    let refusal = self.refusal(Kind::Quarantined);
+                    return Err(refusal.with_retry_after(fingerprint::SILENCE_PAUSE));
+                }
                 fingerprint::Status::Unknown => harmless = false,
                 fingerprint::Status::Harmless => {}
             }
@@ -227,7 +233,7 @@
         match self.core.settings.canary {
             engine::CanaryPolicy::Always => true,
             engine::CanaryPolicy::AfterCrash => self.service.crashed_recently(self.core.rt.now()),
-            engine::CanaryPolicy::AfterStrike => self.has_strikes(),
+            engine::CanaryPolicy::AfterStrike => self.strike_count() > 0,
         }
     }
 
--- a/crates/marigoldloom_query/src/hooks.rs
+++ b/crates/marigoldloom_query/src/hooks.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use marigoldloom_limits::fingerprint::{Fingerprint, Silence};
 use marigoldloom_limits::{cold, fingerprint};
 use marigoldloom_records::{class, service};
 use marigoldloom_routing::{health, topology};
@@ -141,6 +142,8 @@
     pub total: u32,
     /// The upstream whose end added the strike; `None` if it is unknown or there was none.
     pub upstream: Option<&'a str>,
+    /// What shows that the upstream ended, or that the request is harmless.
+    pub evidence: &'static str,
 }
 
 /// Receives events of the engine. The methods must not block.
@@ -170,6 +173,10 @@
 
     /// Called when a fingerprint gets a strike or its strikes are cleared.
     fn strikes_changed(&self, _change: &StrikeChange<'_>) {}
+
+    /// Called when this instance knows of more or fewer upstreams that have been silent since they
+    /// got a request with the fingerprint.
+    fn silence_changed(&self, _fingerprint: Fingerprint, _silence: Silence) {}
 }
 
 /// Ignores all events.
@@ -210,6 +217,10 @@
     fn strikes_changed(&self, change: &StrikeChange<'_>) {
         (**self).strikes_changed(change);
     }
+
+    fn silence_changed(&self, fingerprint: Fingerprint, silence: Silence) {
+        (**self).silence_changed(fingerprint, silence);
+    }
 }
 
 /// The hooks that an engine is created with.
--- a/crates/marigoldloom_query/src/lib.rs
+++ b/crates/marigoldloom_query/src/lib.rs
@@ -15,4 +15,5 @@
 pub mod request;
 mod selection;
 mod shard;
+mod silence;
 mod state;
--- a/crates/marigoldloom_query/src/shard.rs
+++ b/crates/marigoldloom_query/src/shard.rs
@@ -233,8 +233,9 @@
         let cold = reservation.cold;
         self.run_counter.add();
         let error_replies = self.request.policy.error_replies;
+        let watch = self.crash_watch(&reservation);
         let attempt = reservation.send(subquery, Arc::clone(&self.run_counter), error_replies);
-        let attempt = self.watch_crash(Arc::clone(&name), attempt);
+        let attempt = watch.watch(attempt);
         let result = match self.core.settings.losing_attempts {
             engine::LosingAttempts::Cancel => attempt.await,
             engine::LosingAttempts::Finish => self.run_detached(attempt).await,
--- a/crates/marigoldloom_query/src/state.rs
+++ b/crates/marigoldloom_query/src/state.rs
@@ -14,8 +14,8 @@
 use marigoldloom_upstream::message;
 use serde_json::json;
 
-use crate::engine;
 use crate::hooks::{self, Hooks, Observer};
+use crate::{engine, silence};
 
 /// Hedge delay of a route until its latency quantile is known.
 const INITIAL_HEDGE_DELAY: Duration = Duration::from_millis(50);
@@ -44,6 +44,7 @@
     pub(crate) ramps: cold::Ramps,
     pub(crate) pacer: pace::Pacer,
     pub(crate) crash_tracker: Arc<fingerprint::CrashTracker>,
+    pub(crate) suspects: silence::Suspects,
     /// How late a query wakes up when a partial answer is due, e.g. because the replies to other
     /// queries are being read.
     pub(crate) wakeup_lag: delay::DelayEstimate,
@@ -87,6 +88,7 @@
             ramps: cold::Ramps::new(),
             pacer: pace::Pacer::new(),
             crash_tracker: Arc::default(),
+            suspects: silence::Suspects::default(),
             wakeup_lag: delay::DelayEstimate::default(),
             warm_reports: Mutex::default(),
             topology: RwLock::default(),
@@ -122,6 +124,7 @@
             .unwrap_or_else(PoisonError::into_inner);
         *current = Some(topology);
         drop(current);
+        self.resolve_suspects();
         for (name, cause) in cold_starts {
             self.ramps.reset(&name);
             match cause {
@@ -278,19 +281,27 @@
         self.crash_tracker.strike_count(now, fingerprint)
     }
 
-    /// Counts a strike against a fingerprint. `upstream` is the upstream that ended, if known.
-    pub(crate) fn add_strike(&self, fingerprint: fingerprint::Fingerprint, upstream: Option<&str>) {
+    /// Counts a strike against a fingerprint. `upstream` is the upstream that ended, if known, and
+    /// `evidence` shows that it did.
+    pub(crate) fn add_strike(
+        &self,
+        fingerprint: fingerprint::Fingerprint,
+        upstream: Option<&str>,
+        evidence: &'static str,
+    ) {
         let strikes = self.crash_tracker.add_strike(self.rt.wall(), fingerprint);
         self.hooks.observer().strikes_changed(&hooks::StrikeChange {
             fingerprint,
             own: strikes,
             total: self.strike_count(fingerprint),
             upstream,
+            evidence,
         });
     }
 
     /// Clears the strikes against a fingerprint after a run without a crash.
     pub(crate) fn clear_strikes(&self, fingerprint: fingerprint::Fingerprint) {
+        self.clear_silence(fingerprint);
         let cleared = self
             .crash_tracker
             .clear_strikes(self.rt.wall(), fingerprint);
@@ -300,6 +311,7 @@
                 own,
                 total: 0,
                 upstream: None,
+                evidence: "an upstream survived a run",
             });
         }
     }
--- a/crates/marigoldloom_routing/src/health.rs
+++ b/crates/marigoldloom_routing/src/health.rs
@@ -285,6 +285,11 @@
         self.lock().notice.is_unwilling(now)
     }
 
+    /// Returns when the latest response arrived; `None` if there was none.
+    pub fn last_reply(&self) -> Option<Timestamp> {
+        self.lock().last_reply
+    }
+
     /// Returns a listener that completes when a slot may have become free for another request.
     pub fn slot_freed(&self) -> event_listener::EventListener {
         self.slot_freed.listen()
--- a/crates/marigoldloom_standin/src/users/replica.rs
+++ b/crates/marigoldloom_standin/src/users/replica.rs
@@ -1,7 +1,7 @@
 //! A replica that sends scripted bytes as responses and keeps the requests that it receives.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use std::{io, mem, pin};
@@ -64,6 +64,18 @@
     AtNextRequest,
 }
 
+/// What is left of a replica that crashes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Crash {
+    /// Nothing: its connections are closed and its address refuses new ones.
+    Closed,
+    /// Its connections stay open without a response, and its address refuses new ones.
+    Silent,
+    /// As [`Crash::Silent`], but its address accepts connections until
+    /// [`Replica::stop_listening`] is called.
+    Frozen,
+}
+
 /// How a replica responds to a request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ScriptedResponse {
@@ -73,8 +85,8 @@
     pub bytes: Vec<u8>,
     /// Whether the connection is closed after the bytes are sent.
     pub close: bool,
-    /// Whether the replica crashes instead of sending the bytes.
-    pub crash: bool,
+    /// How the replica crashes instead of sending the bytes; `None` if it doesn't.
+    pub crash: Option<Crash>,
     /// When the bytes are sent a second time.
     pub copy: Copy,
     /// Bytes that follow again and again until the connection ends; nothing follows if it is empty.
@@ -97,8 +109,13 @@
 
     /// The replica crashes without a response.
     pub fn crash() -> Self {
+        Self::crash_as(Crash::Closed)
+    }
+
+    /// The replica crashes without a response and leaves what `crash` says.
+    pub fn crash_as(crash: Crash) -> Self {
         Self {
-            crash: true,
+            crash: Some(crash),
             ..Self::default()
         }
     }
@@ -149,6 +166,10 @@
     connections: Arc<AtomicU32>,
     /// Closed to stop the replica.
     stop: Sender<()>,
+    /// Closed to stop only the listener.
+    listening: Sender<()>,
+    /// Whether it no longer responds.
+    silent: Arc<AtomicBool>,
 }
 
 impl Replica {
@@ -176,11 +197,14 @@
     {
         let listener = TcpListener::bind(address).await?;
         let (stop, stopped) = async_channel::bounded(1);
+        let (listening, unbound) = async_channel::bounded(1);
         let replica = Self {
             address: listener.local_addr()?,
             received: Arc::default(),
             connections: Arc::default(),
             stop,
+            listening,
+            silent: Arc::default(),
         };
         let (shared, accept_stopped) = (replica.clone(), stopped.clone());
         let accept = async move {
@@ -192,7 +216,10 @@
                 task::spawn(until_stopped(stopped.clone(), serve));
             }
         };
-        task::spawn(until_stopped(accept_stopped, accept));
+        task::spawn(until_stopped(
+            accept_stopped,
+            until_stopped(unbound, accept),
+        ));
         Ok(replica)
     }
 
@@ -219,7 +246,21 @@
 
     /// Returns whether the replica has crashed.
     pub fn has_crashed(&self) -> bool {
-        self.stop.is_closed()
+        self.stop.is_closed() || self.silent.load(Ordering::Relaxed)
+    }
+
+    /// Closes the listener; open connections stay open.
+    pub fn stop_listening(&self) {
+        self.listening.close();
+    }
+
+    fn crash_as(&self, crash: Crash) {
+        self.silent.store(true, Ordering::Relaxed);
+        match crash {
+            Crash::Closed => self.crash(),
+            Crash::Silent => self.stop_listening(),
+            Crash::Frozen => {}
+        }
     }
 }
 
@@ -238,6 +279,9 @@
     // Second copy of an earlier response that is sent before the next one.
     let mut late = ScriptedResponse::default();
     while let Some(request) = read(&mut stream, &mut buffer).await {
+        if replica.silent.load(Ordering::Relaxed) {
+            return future::pending().await;
+        }
         let early = match late.copy {
             Copy::AtNextRequest => mem::take(&mut late).bytes,
             _ => Vec::new(),
@@ -253,8 +297,11 @@
                 .push(request);
         }
         task::sleep(response.delay).await;
-        if response.crash {
-            return replica.crash();
+        if let Some(crash) = response.crash {
+            replica.crash_as(crash);
+        }
+        if replica.silent.load(Ordering::Relaxed) {
+            return future::pending().await;
         }
         let mut bytes = mem::take(&mut late).bytes;
         bytes.extend_from_slice(&response.bytes);
--- a/crates/marigoldloom_upstream/src/upstream.rs
+++ b/crates/marigoldloom_upstream/src/upstream.rs
@@ -1,7 +1,7 @@
 //! The [`Upstream`] trait and its errors.
 
-use std::net;
 use std::sync::Arc;
+use std::{future, net};
 
 use derive_more::derive;
 
@@ -134,4 +134,10 @@
         subquery: &message::Subquery,
         admit: impl Fn() -> bool + Send + Sync,
     ) -> impl Future<Output = Result<message::Reply, Error>> + Send;
+
+    /// Returns whether the address of `target` refuses connections, which shows that its process has
+    /// ended. False if that isn't known.
+    fn has_ended(&self, _target: &Target) -> impl Future<Output = bool> + Send {
+        future::ready(false)
+    }
 }
