Count the end of an upstream once for all copies of a request

A request that several callers had sent at the same time was refused for 10 minutes when one upstream ended while it ran three copies of it.

Cause: each lost attempt added a strike, so one end was as many strikes as the process ran copies. The saved strikes of all instances were added to the strikes they consist of, too.

Change: a strike names its upstream and the time. A run that was under way when a counted end of its upstream was noticed adds nothing, and ends of one upstream that several instances notice within 0.3 s are one. A process that returns and crashes again counts again; a clock that is more than 1 s ahead isn't compared. Instances of the version before ignore the new field.

--- a/crates/marigoldloom_front/src/decisions.rs
+++ b/crates/marigoldloom_front/src/decisions.rs
@@ -113,7 +113,7 @@
             fingerprint = %change.fingerprint,
             upstream = change.upstream,
             own = change.own.count,
-            total = change.total,
+            total = change.total.count,
             evidence = change.evidence,
             "strikes of a request changed"
         );
--- a/crates/marigoldloom_front/src/strikes.rs
+++ b/crates/marigoldloom_front/src/strikes.rs
@@ -31,8 +31,8 @@
 pub(crate) const SAVE_QUEUE: usize = 64;
 
 /// Returns the entry by which the process `writer` publishes its strikes.
-pub(crate) fn entry(fingerprint: Fingerprint, strikes: Strikes, writer: &str) -> Entry {
-    let value = serde_json::to_string(&strikes).ok();
+pub(crate) fn entry(fingerprint: Fingerprint, strikes: &Strikes, writer: &str) -> Entry {
+    let value = serde_json::to_string(strikes).ok();
     Entry {
         space: Space::Strike,
         name: Arc::from(format!("{fingerprint}/{writer}")),
@@ -72,11 +72,8 @@
 
 /// Returns the entry to save if `change` makes instances refuse the request.
 pub(crate) fn saved_entry(change: &StrikeChange<'_>) -> Option<Entry> {
-    let strikes = Strikes {
-        count: change.total,
-        latest: change.own.latest,
-    };
-    (change.total >= fingerprint::STRIKE_LIMIT).then(|| entry(change.fingerprint, strikes, SAVED))
+    let refused = change.total.count >= fingerprint::STRIKE_LIMIT;
+    refused.then(|| entry(change.fingerprint, change.total, SAVED))
 }
 
 /// Reads the saved strikes into `exchange` at the start, and again whenever another instance can't be
--- a/crates/marigoldloom_limits/src/fingerprint.rs
+++ b/crates/marigoldloom_limits/src/fingerprint.rs
@@ -30,6 +30,15 @@
 /// Time after which a request may be tried again that is refused because of silent upstreams.
 pub const SILENCE_PAUSE: Duration = Duration::from_secs(1);
 
+/// Time between two reports by different instances of the same end of an upstream.
+const SAME_END: Duration = Duration::from_millis(300);
+
+/// Largest difference between the clocks of two instances at which their reports are compared.
+const CLOCK_TOLERANCE: Duration = Duration::from_secs(1);
+
+/// Number of ends of upstreams that are kept for each fingerprint and instance.
+const MAX_ENDS: usize = 8;
+
 /// Maximum number of fingerprints with strikes, each for own strikes and for those of peers. The
 /// oldest are dropped first.
 const MAX_STRUCK: usize = 4_096;
@@ -64,8 +73,43 @@
     }
 }
 
+/// The end of an upstream's process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub struct End {
+    /// Hash of the upstream's name.
+    pub upstream: u64,
+    /// When an instance noticed it.
+    pub at: time::WallTime,
+}
+
+/// A run under which an upstream ended.
+#[derive(Clone, Copy, Debug)]
+pub struct FatalRun<'a> {
+    /// Name of the upstream.
+    pub upstream: &'a str,
+    /// When the request was sent to it.
+    pub sent: time::WallTime,
+}
+
+impl FatalRun<'_> {
+    fn end(&self, now: time::WallTime) -> End {
+        End {
+            upstream: xxh3::xxh3_64(self.upstream.as_bytes()),
+            at: now,
+        }
+    }
+
+    /// Whether the run was under way when the upstream ended with `end`.
+    fn ended_with(&self, end: End, now: time::WallTime) -> bool {
+        let under_way = end.at >= self.sent && end.at.since(now) <= CLOCK_TOLERANCE;
+        under_way && end.upstream == self.end(now).upstream
+    }
+}
+
 /// Strikes against one fingerprint that one instance recorded.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 #[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub struct Strikes {
@@ -74,6 +118,9 @@
     pub count: u32,
     /// When the latest of them crashed, or when the run ended.
     pub latest: time::WallTime,
+    /// The latest of these crashes whose upstreams are known.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub ends: Vec<End>,
 }
 
 /// Upstreams that one instance sent a request to and that have been silent since.
@@ -118,7 +165,7 @@
     canaries: BTreeSet<Fingerprint>,
 }
 
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct OwnStrikes {
     strikes: Strikes,
     /// Whether the one retry after a lost connection has been used.
@@ -138,7 +185,7 @@
     /// Returns what is known about `fingerprint`.
     pub fn status(&self, now: time::WallTime, fingerprint: Fingerprint) -> Status {
         let inner = self.lock();
-        let (count, latest) = inner.total(now, fingerprint);
+        let Strikes { count, latest, .. } = inner.total(now, fingerprint);
         match count {
             0 if inner.is_harmless(fingerprint) => Status::Harmless,
             n if n < STRIKE_LIMIT => Status::Unknown,
@@ -148,13 +195,27 @@
 
     /// Returns the number of strikes against `fingerprint`, over all instances.
     pub fn strike_count(&self, now: time::WallTime, fingerprint: Fingerprint) -> u32 {
-        self.lock().total(now, fingerprint).0
+        self.total(now, fingerprint).count
+    }
+
+    /// Returns the strikes against `fingerprint`, over all instances.
+    pub fn total(&self, now: time::WallTime, fingerprint: Fingerprint) -> Strikes {
+        self.lock().total(now, fingerprint)
     }
 
     /// Records a strike. Returns all strikes of this instance against `fingerprint`, to be sent
-    /// to peers.
-    pub fn add_strike(&self, now: time::WallTime, fingerprint: Fingerprint) -> Strikes {
+    /// to peers; `None` if the end of the upstream under `run` has been counted already.
+    pub fn add_strike(
+        &self,
+        now: time::WallTime,
+        fingerprint: Fingerprint,
+        run: Option<FatalRun<'_>>,
+    ) -> Option<Strikes> {
         let mut inner = self.lock();
+        let ends = inner.total(now, fingerprint).ends;
+        if run.is_some_and(|run| ends.iter().any(|end| run.ended_with(*end, now))) {
+            return None;
+        }
         inner.harmless.remove(&fingerprint);
         inner.harmless_before.remove(&fingerprint);
         inner.evict_oldest();
@@ -165,7 +226,10 @@
         }
         own.strikes.count += 1;
         own.strikes.latest = now;
-        own.strikes
+        own.strikes.ends.extend(run.map(|run| run.end(now)));
+        let excess = own.strikes.ends.len().saturating_sub(MAX_ENDS);
+        own.strikes.ends.drain(..excess);
+        Some(own.strikes.clone())
     }
 
     /// Merges the strikes that the instance `origin` recorded, unless later ones are known.
@@ -235,7 +299,7 @@
     pub fn clear_strikes(&self, now: time::WallTime, fingerprint: Fingerprint) -> Option<Strikes> {
         self.mark_harmless(fingerprint);
         let mut inner = self.lock();
-        let (count, latest) = inner.total(now, fingerprint);
+        let Strikes { count, latest, .. } = inner.total(now, fingerprint);
         if count == 0 {
             return None;
         }
@@ -243,11 +307,12 @@
             count: 0,
             // Later than each strike even if the clocks of the instances differ.
             latest: now.max(latest + Duration::from_millis(1)),
+            ends: Vec::new(),
         };
         inner.own.insert(
             fingerprint,
             OwnStrikes {
-                strikes,
+                strikes: strikes.clone(),
                 retried: false,
             },
         );
@@ -270,14 +335,14 @@
         self.harmless.contains(&fingerprint) || self.harmless_before.contains(&fingerprint)
     }
 
-    fn strikes(&self, fingerprint: Fingerprint) -> impl Iterator<Item = Strikes> {
-        let own = self.own.get(&fingerprint).map(|o| o.strikes);
+    fn strikes(&self, fingerprint: Fingerprint) -> impl Iterator<Item = &Strikes> {
+        let own = self.own.get(&fingerprint).map(|o| &o.strikes);
         let peers = self
             .peers
             .get(&fingerprint)
             .into_iter()
             .flat_map(BTreeMap::values);
-        peers.copied().chain(own)
+        peers.chain(own)
     }
 
     /// When a run of the request last ended without a crash although there were strikes.
@@ -286,14 +351,26 @@
         runs.map(|s| s.latest).max().unwrap_or_default()
     }
 
-    fn total(&self, now: time::WallTime, fingerprint: Fingerprint) -> (u32, time::WallTime) {
+    /// Strikes of all instances. The end of an upstream counts once, however many runs and instances
+    /// it hit.
+    fn total(&self, now: time::WallTime, fingerprint: Fingerprint) -> Strikes {
         let exonerated = self.exonerated_at(fingerprint);
         let live = self
             .strikes(fingerprint)
             .filter(|s| !expired(now, s.latest) && s.latest > exonerated);
-        live.fold((0, time::WallTime::default()), |(count, latest), s| {
-            (count.saturating_add(s.count), latest.max(s.latest))
-        })
+        let mut total = Strikes::default();
+        for strikes in live {
+            let known = u32::try_from(strikes.ends.len()).unwrap_or(u32::MAX);
+            total.count += strikes.count.saturating_sub(known);
+            total.latest = total.latest.max(strikes.latest);
+            for end in &strikes.ends {
+                if !total.ends.iter().any(|other| is_same(*other, *end)) {
+                    total.ends.push(*end);
+                    total.count += 1;
+                }
+            }
+        }
+        total
     }
 
     /// Drops the oldest strikes when there are too many. Callers could otherwise fill the memory
@@ -313,6 +390,11 @@
     }
 }
 
+fn is_same(a: End, b: End) -> bool {
+    let apart = a.at.since(b.at).max(b.at.since(a.at));
+    a.upstream == b.upstream && apart < SAME_END
+}
+
 fn expired(now: time::WallTime, latest: time::WallTime) -> bool {
     now.since(latest) >= QUARANTINE
 }
--- a/crates/marigoldloom_limits/tests/retries.rs
+++ b/crates/marigoldloom_limits/tests/retries.rs
@@ -9,13 +9,13 @@
 fn harmless_run_restores_the_retry() {
     let tracker = CrashTracker::new();
     let fingerprint = Fingerprint::new(&["search", "set-piece"], b"corner");
-    tracker.add_strike(WallTime(1), fingerprint);
+    tracker.add_strike(WallTime(1), fingerprint, None);
     assert!(tracker.take_retry(fingerprint));
     assert!(
         !tracker.take_retry(fingerprint),
         "a request that crashes upstreams is retried again"
     );
     tracker.mark_harmless(fingerprint);
-    tracker.add_strike(WallTime(2), fingerprint);
+    tracker.add_strike(WallTime(2), fingerprint, None);
     assert!(tracker.take_retry(fingerprint));
 }
--- a/crates/marigoldloom_query/src/attempt.rs
+++ b/crates/marigoldloom_query/src/attempt.rs
@@ -1,7 +1,7 @@
 //! A single attempt to run a subquery on a replica.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
 use marigoldloom_routing::{health, topology};
@@ -43,8 +43,8 @@
     pub(crate) start_id: Option<u64>,
     /// Whether the replica was in cold start when it was selected.
     pub(crate) cold: bool,
-    /// Whether the subquery was handed to a connection.
-    pub(crate) sent: Arc<AtomicBool>,
+    /// When the subquery was handed to a connection, in nanoseconds; zero if it wasn't.
+    pub(crate) sent: Arc<AtomicU64>,
     pub(crate) health: Arc<health::Health>,
     started: Timestamp,
     /// A reply that takes longer, or an attempt abandoned after at least this time, is slow.
@@ -128,7 +128,10 @@
         subquery.deadline = self.deadline;
         let admit = || {
             let admitted = self.may_send(&subquery);
-            self.sent.fetch_or(admitted, Ordering::Relaxed);
+            if admitted {
+                let now = self.core.rt.now().as_nanos();
+                self.sent.store(now, Ordering::Relaxed);
+            }
             admitted
         };
         let upstream = &self.core.upstream;
--- a/crates/marigoldloom_query/src/crashes.rs
+++ b/crates/marigoldloom_query/src/crashes.rs
@@ -1,11 +1,12 @@
 //! Counts crashes of upstreams against the requests that they ran.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use marigoldloom_limits::fingerprint;
 use marigoldloom_routing::health;
 use marigoldloom_runtime::runtime::Runtime;
+use marigoldloom_runtime::time::Timestamp;
 use marigoldloom_upstream::{message, upstream};
 
 use crate::hooks::Hooks;
@@ -21,13 +22,17 @@
     core: Arc<Core<R, U, H>>,
     run: Run,
     health: Arc<health::Health>,
-    /// Whether the subquery was handed to a connection.
-    sent: Arc<AtomicBool>,
+    /// When the subquery was handed to a connection; zero if it wasn't.
+    sent: Arc<AtomicU64>,
     /// Why there is no result; `None` if there is one.
     end: Option<End>,
 }
 
 impl<R: Runtime, U: upstream::Upstream, H: Hooks> Watch<R, U, H> {
+    fn sent(&self) -> Timestamp {
+        Timestamp::from_nanos(self.sent.load(Ordering::Relaxed))
+    }
+
     /// Runs `attempt` and counts a strike if its upstream ended.
     pub(crate) async fn watch(
         mut self,
@@ -49,7 +54,7 @@
         match &result {
             Err(upstream::Error::Ended) => {
                 let evidence = "a connection was lost and its address refuses new ones";
-                self.core.record_end(&self.run, evidence);
+                self.core.record_end(&self.run, self.sent(), evidence);
             }
             _ if survived && !self.run.survived.swap(true, Ordering::Relaxed) => {
                 for fingerprint in self.run.fingerprints() {
@@ -68,10 +73,11 @@
         let counted = self.core.settings.canary == engine::CanaryPolicy::AfterStrike;
         let survived = self.run.survived.load(Ordering::Relaxed);
         match self.end {
-            Some(end) if counted && !survived && self.sent.load(Ordering::Relaxed) => {
+            Some(end) if counted && !survived && self.sent() > Timestamp::ZERO => {
                 self.core.suspect(Suspect {
                     run: self.run.clone(),
                     health: Arc::clone(&self.health),
+                    sent: self.sent(),
                     since: self.core.rt.now(),
                     end,
                 });
--- a/crates/marigoldloom_query/src/hooks.rs
+++ b/crates/marigoldloom_query/src/hooks.rs
@@ -137,9 +137,9 @@
     /// The fingerprint.
     pub fingerprint: fingerprint::Fingerprint,
     /// The strikes that this instance has recorded for it, to be sent to its peers.
-    pub own: fingerprint::Strikes,
-    /// Number of strikes over all instances, as far as they are known here.
-    pub total: u32,
+    pub own: &'a fingerprint::Strikes,
+    /// The strikes over all instances, as far as they are known here.
+    pub total: &'a fingerprint::Strikes,
     /// The upstream whose end added the strike; `None` if it is unknown or there was none.
     pub upstream: Option<&'a str>,
     /// What shows that the upstream ended, or that the request is harmless.
--- a/crates/marigoldloom_query/src/silence.rs
+++ b/crates/marigoldloom_query/src/silence.rs
@@ -9,10 +9,10 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use marigoldloom_limits::fingerprint::{Fingerprint, Silence};
+use marigoldloom_limits::fingerprint::{FatalRun, Fingerprint, Silence};
 use marigoldloom_routing::{health, topology};
 use marigoldloom_runtime::runtime::Runtime;
-use marigoldloom_runtime::time::Timestamp;
+use marigoldloom_runtime::time::{self, Timestamp, WallTime};
 use marigoldloom_upstream::upstream::Upstream;
 
 use crate::hooks::{Hooks, Observer};
@@ -50,6 +50,8 @@
 pub(crate) struct Suspect {
     pub(crate) run: Run,
     pub(crate) health: Arc<health::Health>,
+    /// When the request was sent.
+    pub(crate) sent: Timestamp,
     /// When the run was given up.
     pub(crate) since: Timestamp,
     pub(crate) end: End,
@@ -194,12 +196,17 @@
 impl<R: Runtime, U, H: Hooks> Core<R, U, H> {
     /// Counts the end of the upstream of `run` as a strike, unless another upstream has run the
     /// request without a crash.
-    pub(crate) fn record_end(&self, run: &Run, evidence: &'static str) {
+    pub(crate) fn record_end(&self, run: &Run, sent: Timestamp, evidence: &'static str) {
         if run.survived.load(Ordering::Relaxed) {
             return;
         }
+        let age = time::millis(self.rt.now().since(sent));
+        let fatal = FatalRun {
+            upstream: &run.replica.target.name,
+            sent: WallTime(self.rt.wall().0.saturating_sub(age)),
+        };
         for fingerprint in run.fingerprints() {
-            self.add_strike(fingerprint, Some(&run.replica.target.name), evidence);
+            self.add_strike(fingerprint, Some(fatal), evidence);
         }
     }
 
@@ -226,7 +233,7 @@
     /// Counts strikes for runs whose upstreams have ended.
     fn settle(&self, ended: &[Suspect], evidence: &'static str) {
         for suspect in ended {
-            self.record_end(&suspect.run, evidence);
+            self.record_end(&suspect.run, suspect.sent, evidence);
             self.publish_silence(&suspect.run);
         }
     }
--- a/crates/marigoldloom_query/src/state.rs
+++ b/crates/marigoldloom_query/src/state.rs
@@ -281,20 +281,23 @@
         self.crash_tracker.strike_count(now, fingerprint)
     }
 
-    /// Counts a strike against a fingerprint. `upstream` is the upstream that ended, if known, and
-    /// `evidence` shows that it did.
+    /// Counts a strike against a fingerprint, unless the end of the upstream under `run` has been
+    /// counted. `evidence` shows that the upstream ended.
     pub(crate) fn add_strike(
         &self,
         fingerprint: fingerprint::Fingerprint,
-        upstream: Option<&str>,
+        run: Option<fingerprint::FatalRun<'_>>,
         evidence: &'static str,
     ) {
-        let strikes = self.crash_tracker.add_strike(self.rt.wall(), fingerprint);
+        let now = self.rt.wall();
+        let Some(own) = self.crash_tracker.add_strike(now, fingerprint, run) else {
+            return;
+        };
         self.hooks.observer().strikes_changed(&hooks::StrikeChange {
             fingerprint,
-            own: strikes,
-            total: self.strike_count(fingerprint),
-            upstream,
+            own: &own,
+            total: &self.crash_tracker.total(now, fingerprint),
+            upstream: run.map(|run| run.upstream),
             evidence,
         });
     }
@@ -308,8 +311,8 @@
         if let Some(own) = cleared {
             self.hooks.observer().strikes_changed(&hooks::StrikeChange {
                 fingerprint,
-                own,
-                total: 0,
+                own: &own,
+                total: &fingerprint::Strikes::default(),
                 upstream: None,
                 evidence: "an upstream survived a run",
             });
