Try a request that is refused for its crashes again, twice at most

A harmless request that several callers sent was refused for 10 minutes when a failure domain with three of the upstreams that ran it lost power.

Cause: a refused request never ran before its time was over, so nothing could show that the verdict was wrong.

Change: a refused request runs once on one upstream 10 s after its latest strike, and once more 60 s after that, without hedge or retry. A run that an upstream survives clears the verdict at all instances and in the saved strikes, which were kept before. Trials are counted in the shared strikes before they begin, so there are two in sum where three late retries are allowed. Only instances with strikes of their own try, in an order that the strikes give, so a restarted process doesn't. Retry-After is the time until the next trial.

--- a/crates/marigoldloom_daemon/src/config.rs
+++ b/crates/marigoldloom_daemon/src/config.rs
@@ -174,7 +174,7 @@
                 let strikes = fingerprint::Strikes {
                     count: strike.count,
                     latest: strike.latest,
-                    ends: Vec::new(),
+                    ..fingerprint::Strikes::default()
                 };
                 self.engine.merge_strikes(origin, fingerprint, strikes);
             }
--- a/crates/marigoldloom_front/src/decisions.rs
+++ b/crates/marigoldloom_front/src/decisions.rs
@@ -114,6 +114,7 @@
             upstream = change.upstream,
             own = change.own.count,
             total = change.total.count,
+            trials = change.total.trials,
             evidence = change.evidence,
             "strikes of a request changed"
         );
--- a/crates/marigoldloom_front/src/strikes.rs
+++ b/crates/marigoldloom_front/src/strikes.rs
@@ -70,10 +70,11 @@
     Some((fingerprint.parse().ok()?, writer, silence))
 }
 
-/// Returns the entry to save if `change` makes instances refuse the request.
+/// Returns the entry to save if `change` concerns a request that instances refuse, or that they
+/// refused until it was cleared.
 pub(crate) fn saved_entry(change: &StrikeChange<'_>) -> Option<Entry> {
-    let refused = change.total.count >= fingerprint::STRIKE_LIMIT;
-    refused.then(|| entry(change.fingerprint, change.total, SAVED))
+    let saved = || entry(change.fingerprint, change.total, SAVED);
+    change.refused.then(saved)
 }
 
 /// Reads the saved strikes into `exchange` at the start, and again whenever another instance can't be
--- a/crates/marigoldloom_limits/src/fingerprint.rs
+++ b/crates/marigoldloom_limits/src/fingerprint.rs
@@ -30,6 +30,13 @@
 /// Time after which a request may be tried again that is refused because of silent upstreams.
 pub const SILENCE_PAUSE: Duration = Duration::from_secs(1);
 
+/// Time from the latest strike until a refused request is tried again, on one upstream. There are
+/// no further trials, so that a request that does crash upstreams takes down no more than two.
+const TRIAL_DELAYS: [Duration; 2] = [Duration::from_secs(10), Duration::from_secs(60)];
+
+/// Additional delay of a trial for each instance with later strikes, which tries first.
+const TRIAL_STAGGER: Duration = Duration::from_secs(15);
+
 /// Time between two reports by different instances of the same end of an upstream.
 const SAME_END: Duration = Duration::from_millis(300);
 
@@ -116,13 +123,27 @@
     /// Number of upstreams that crashed. Zero states that a run ended without a crash, which
     /// cancels the earlier strikes of all instances.
     pub count: u32,
-    /// When the latest of them crashed, or when the run ended.
+    /// When the latest of them crashed, when the latest trial began, or when the run ended.
     pub latest: time::WallTime,
+    /// Random number of the process that recorded them.
+    #[serde(default)]
+    pub origin: u64,
+    /// Number of trials of the refused request that this instance began.
+    #[serde(default)]
+    pub trials: u32,
     /// The latest of these crashes whose upstreams are known.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub ends: Vec<End>,
 }
 
+impl Strikes {
+    /// Order in which instances try a refused request, the greatest first. They often notice the end of
+    /// an upstream within the same millisecond.
+    const fn rank(&self) -> (time::WallTime, u64) {
+        (self.latest, self.origin)
+    }
+}
+
 /// Upstreams that one instance sent a request to and that have been silent since.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 #[derive(Deserialize, Serialize)]
@@ -147,8 +168,10 @@
 
 /// Records strikes by fingerprint and by the instance that recorded them, and the fingerprints
 /// that are harmless.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct CrashTracker {
+    /// Random number of this process.
+    origin: u64,
     inner: Mutex<Inner>,
 }
 
@@ -173,9 +196,12 @@
 }
 
 impl CrashTracker {
-    /// Creates a tracker without fingerprints.
-    pub fn new() -> Self {
-        Self::default()
+    /// Creates a tracker without fingerprints. `origin` is a random number.
+    pub fn new(origin: u64) -> Self {
+        Self {
+            origin,
+            inner: Mutex::default(),
+        }
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
@@ -225,6 +251,7 @@
             *own = OwnStrikes::default();
         }
         own.strikes.count += 1;
+        own.strikes.origin = self.origin;
         own.strikes.latest = now;
         own.strikes.ends.extend(run.map(|run| run.end(now)));
         let excess = own.strikes.ends.len().saturating_sub(MAX_ENDS);
@@ -307,7 +334,7 @@
             count: 0,
             // Later than each strike even if the clocks of the instances differ.
             latest: now.max(latest + Duration::from_millis(1)),
-            ends: Vec::new(),
+            ..Strikes::default()
         };
         inner.own.insert(
             fingerprint,
@@ -319,6 +346,38 @@
         Some(strikes)
     }
 
+    /// Returns the time until an instance may try a refused request, or until it is no longer
+    /// refused if there are no further trials.
+    pub fn refusal_time(&self, now: time::WallTime, fingerprint: Fingerprint) -> Duration {
+        let total = self.total(now, fingerprint);
+        let age = now.since(total.latest);
+        match trial_delay(total.trials) {
+            Some(delay) if age < delay => delay - age,
+            // Another instance may know of the trial's result.
+            Some(_) => SILENCE_PAUSE,
+            None => QUARANTINE.saturating_sub(age),
+        }
+    }
+
+    /// Whether this instance may try the refused request: it has recorded strikes against it, and
+    /// instances with later strikes have let their time for it pass.
+    pub fn is_trial_due(&self, now: time::WallTime, fingerprint: Fingerprint) -> bool {
+        self.lock().is_trial_due(now, fingerprint)
+    }
+
+    /// Begins a trial of a refused request. Returns all strikes of this instance, to be sent to
+    /// peers; `None` if no trial is due.
+    pub fn begin_trial(&self, now: time::WallTime, fingerprint: Fingerprint) -> Option<Strikes> {
+        let mut inner = self.lock();
+        if !inner.is_trial_due(now, fingerprint) {
+            return None;
+        }
+        let strikes = &mut inner.own.get_mut(&fingerprint)?.strikes;
+        strikes.trials += 1;
+        strikes.latest = now;
+        Some(strikes.clone())
+    }
+
     /// Claims the canary run of `fingerprint`: the run on a single shard that shows whether the
     /// request crashes upstreams. None while another request holds it.
     pub fn claim_canary(self: &Arc<Self>, fingerprint: Fingerprint) -> Option<Canary> {
@@ -351,6 +410,23 @@
         runs.map(|s| s.latest).max().unwrap_or_default()
     }
 
+    fn is_trial_due(&self, now: time::WallTime, fingerprint: Fingerprint) -> bool {
+        let total = self.total(now, fingerprint);
+        let own = self.own.get(&fingerprint).map(|o| &o.strikes);
+        let own = own.filter(|s| s.count > 0 && s.latest > self.exonerated_at(fingerprint));
+        let peers = self.peers.get(&fingerprint);
+        let peers = peers.into_iter().flat_map(BTreeMap::values);
+        let later = own.map(|own| peers.filter(|s| s.count > 0 && s.rank() >= own.rank()));
+        match (later.map(Iterator::count), trial_delay(total.trials)) {
+            (Some(later), Some(delay)) if total.count >= STRIKE_LIMIT => {
+                let later = u32::try_from(later).unwrap_or(u32::MAX);
+                let delay = delay.saturating_add(TRIAL_STAGGER.saturating_mul(later));
+                now.since(total.latest) >= delay
+            }
+            _ => false,
+        }
+    }
+
     /// Strikes of all instances. The end of an upstream counts once, however many runs and instances
     /// it hit.
     fn total(&self, now: time::WallTime, fingerprint: Fingerprint) -> Strikes {
@@ -363,6 +439,7 @@
             let known = u32::try_from(strikes.ends.len()).unwrap_or(u32::MAX);
             total.count += strikes.count.saturating_sub(known);
             total.latest = total.latest.max(strikes.latest);
+            total.trials += strikes.trials;
             for end in &strikes.ends {
                 if !total.ends.iter().any(|other| is_same(*other, *end)) {
                     total.ends.push(*end);
@@ -390,6 +467,12 @@
     }
 }
 
+/// Delay of the next trial after `trials`; `None` if there is none.
+fn trial_delay(trials: u32) -> Option<Duration> {
+    let index = usize::try_from(trials).ok()?;
+    TRIAL_DELAYS.get(index).copied()
+}
+
 fn is_same(a: End, b: End) -> bool {
     let apart = a.at.since(b.at).max(b.at.since(a.at));
     a.upstream == b.upstream && apart < SAME_END
--- a/crates/marigoldloom_limits/tests/retries.rs
+++ b/crates/marigoldloom_limits/tests/retries.rs
@@ -7,7 +7,7 @@
 /// with the same fingerprint lost its connection in another crash, used the retry and succeeded.
 #[test]
 fn harmless_run_restores_the_retry() {
-    let tracker = CrashTracker::new();
+    let tracker = CrashTracker::new(1);
     let fingerprint = Fingerprint::new(&["search", "set-piece"], b"corner");
     tracker.add_strike(WallTime(1), fingerprint, None);
     assert!(tracker.take_retry(fingerprint));
--- a/crates/marigoldloom_limits/tests/strikes.rs
+++ b/crates/marigoldloom_limits/tests/strikes.rs
@@ -1,6 +1,6 @@
 //! Tests how many strikes the ends of upstreams add up to.
 
-use marigoldloom_limits::fingerprint::{CrashTracker, FatalRun, Fingerprint};
+use marigoldloom_limits::fingerprint::{CrashTracker, FatalRun, Fingerprint, Status, Strikes};
 use marigoldloom_runtime::time::WallTime;
 
 /// A run that ended with its upstream.
@@ -80,7 +80,7 @@
     ];
     let fingerprint = Fingerprint::new(&["search"], b"same");
     for case in cases {
-        let trackers = [(); 3].map(|()| CrashTracker::new());
+        let trackers = [1, 2, 3].map(CrashTracker::new);
         let mut records = [const { None }; 3];
         for crash in &case.crashes {
             let run = FatalRun {
@@ -91,7 +91,7 @@
             let own = tracker.add_strike(WallTime(crash.ended), fingerprint, Some(run));
             records[crash.instance] = own.or(records[crash.instance].take());
         }
-        let reader = CrashTracker::new();
+        let reader = CrashTracker::new(9);
         for (origin, own) in ["x", "y", "z"].into_iter().zip(records) {
             if let Some(own) = own {
                 reader.merge(origin, fingerprint, own);
@@ -101,3 +101,143 @@
         assert_eq!(strikes, case.strikes, "{}", case.name);
     }
 }
+
+/// Names of the instances.
+const ORIGINS: [&str; 4] = ["w", "x", "y", "z"];
+
+/// Sends what the instance `from` recorded to the others that `reached` returns true for.
+fn share(
+    trackers: &[CrashTracker],
+    from: usize,
+    fingerprint: Fingerprint,
+    record: &Strikes,
+    reached: impl Fn(usize) -> bool,
+) {
+    for (index, tracker) in trackers.iter().enumerate() {
+        if index != from && reached(index) {
+            tracker.merge(ORIGINS[from], fingerprint, record.clone());
+        }
+    }
+}
+
+/// Guards against trials of a refused request that are too many in sum, and against a request that
+/// stays refused though an upstream survived its trial.
+#[test]
+fn trials_of_a_refused_request_are_few_over_all_instances() {
+    struct Case {
+        name: &'static str,
+        /// Instances that recorded one strike each, in this order.
+        strikes: Vec<usize>,
+        /// Time between two strikes in milliseconds.
+        period: u64,
+        /// Instances that end after the strikes; others with the same records replace them.
+        replaced: Vec<usize>,
+        /// Whether upstreams survive the trials.
+        harmless: bool,
+        trials: u32,
+    }
+    let cases = [
+        Case {
+            name: "strikes of one instance",
+            strikes: vec![0, 0, 0],
+            period: 1_000,
+            replaced: vec![],
+            harmless: false,
+            trials: 2,
+        },
+        Case {
+            name: "strikes of three instances",
+            strikes: vec![0, 1, 2],
+            period: 1_000,
+            replaced: vec![],
+            harmless: false,
+            trials: 2,
+        },
+        Case {
+            name: "many strikes",
+            strikes: vec![0, 1, 2, 3, 0, 1, 2, 3],
+            period: 1_000,
+            replaced: vec![],
+            harmless: false,
+            trials: 2,
+        },
+        Case {
+            name: "strikes at the same moment",
+            strikes: vec![0, 1, 2, 3],
+            period: 0,
+            replaced: vec![],
+            harmless: true,
+            trials: 1,
+        },
+        Case {
+            name: "the instance with the latest strike is replaced",
+            strikes: vec![0, 1, 2],
+            period: 1_000,
+            replaced: vec![2],
+            harmless: false,
+            trials: 2,
+        },
+        Case {
+            name: "all instances are replaced",
+            strikes: vec![0, 1, 2],
+            period: 1_000,
+            replaced: vec![0, 1, 2, 3],
+            harmless: false,
+            trials: 0,
+        },
+        Case {
+            name: "upstreams survive",
+            strikes: vec![0, 1, 2],
+            period: 1_000,
+            replaced: vec![],
+            harmless: true,
+            trials: 1,
+        },
+    ];
+    let fingerprint = Fingerprint::new(&["search"], b"same");
+    for case in cases {
+        let mut trackers = [1, 2, 3, 4].map(CrashTracker::new);
+        let mut records: [Option<Strikes>; 4] = [const { None }; 4];
+        for (number, from) in (1..).zip(&case.strikes) {
+            let now = WallTime(1_000 + number * case.period);
+            let own = trackers[*from].add_strike(now, fingerprint, None).unwrap();
+            share(&trackers, *from, fingerprint, &own, |_| true);
+            records[*from] = Some(own);
+        }
+        for index in &case.replaced {
+            trackers[*index] = CrashTracker::new(5);
+            for (origin, record) in ORIGINS.iter().zip(&records) {
+                // The new process publishes under another name.
+                if let Some(record) = record {
+                    trackers[*index].merge(origin, fingerprint, record.clone());
+                }
+            }
+        }
+        let mut trials = 0;
+        let last = 1_000 + u64::try_from(case.strikes.len()).unwrap() * case.period;
+        // The request comes to each instance every second.
+        for second in 0..500 {
+            for from in 0..4 {
+                let now = WallTime(last + second * 1_000);
+                let Some(own) = trackers[from].begin_trial(now, fingerprint) else {
+                    continue;
+                };
+                trials += 1;
+                assert!(second >= 10, "{}: a trial after {second} s", case.name);
+                share(&trackers, from, fingerprint, &own, |_| true);
+                let own = match case.harmless {
+                    true => trackers[from].clear_strikes(now, fingerprint),
+                    false => trackers[from].add_strike(now, fingerprint, None),
+                };
+                share(&trackers, from, fingerprint, &own.unwrap(), |_| true);
+            }
+        }
+        assert_eq!(trials, case.trials, "{}", case.name);
+        let now = WallTime(last + 30_000);
+        let refused =
+            |t: &CrashTracker| matches!(t.status(now, fingerprint), Status::Quarantined(_));
+        let refused = trackers.iter().filter(|t| refused(t)).count();
+        let expected = if case.harmless { 0 } else { 4 };
+        assert_eq!(refused, expected, "{}", case.name);
+    }
+}
--- a/crates/marigoldloom_query/src/engine.rs
+++ b/crates/marigoldloom_query/src/engine.rs
@@ -347,6 +347,7 @@
             first_run,
             shards_queried: AtomicU32::new(0),
             harmless: AtomicBool::new(false),
+            trial: AtomicBool::new(false),
             strike_recorded: AtomicBool::new(false),
             survived: Arc::default(),
         };
--- a/crates/marigoldloom_query/src/gather.rs
+++ b/crates/marigoldloom_query/src/gather.rs
@@ -206,11 +206,20 @@
     /// quarantined, at its service or at all services.
     pub(crate) fn check_quarantine(&self) -> Result<bool, Refusal> {
         let now = self.core.rt.wall();
+        if self.trial.load(Ordering::Relaxed) || self.begin_trial(now) {
+            return Ok(false);
+        }
         let mut harmless = true;
         for fingerprint in self.fingerprints() {
             let silent = self.core.suspected_count(fingerprint) >= fingerprint::STRIKE_LIMIT;
             match self.core.crash_tracker.status(now, fingerprint) {
                 fingerprint::Status::Quarantined(left) => {
+                    let left = match self.core.settings.canary {
+                        engine::CanaryPolicy::AfterStrike => {
+                            self.core.crash_tracker.refusal_time(now, fingerprint)
+                        }
+                        _ => left,
+                    };
                     return Err(self.refusal(Kind::Quarantined).with_retry_after(left));
                 }
                 // Whether the upstreams crashed is known soon.
@@ -242,7 +251,8 @@
         let random = runtime::random_below(&self.core.rt, u64::from(self.total));
         let mut shard = self.canary_shard(u32::try_from(random).unwrap_or(0));
         let mut result = self.query_shard(shard).await;
-        if matches!(result, Err(Reason::Lost)) && self.take_retry() {
+        let trial = self.trial.load(Ordering::Relaxed);
+        if matches!(result, Err(Reason::Lost)) && !trial && self.take_retry() {
             shard = self.canary_shard(shard.wrapping_add(1));
             result = self.query_shard(shard).await;
         }
@@ -251,6 +261,11 @@
                 let refusal = self.refusal(Kind::Crashed);
                 return Err(refusal.with_reason(Reason::Lost, RunStatus::Unknown));
             }
+            // Only the shard of the trial may be lost.
+            Err(reason) if trial => {
+                let refusal = self.refusal(Kind::Unavailable);
+                return Err(refusal.with_reason(reason, self.run_status()));
+            }
             Err(_) => {}
             Ok(_) => {
                 self.fingerprints()
--- a/crates/marigoldloom_query/src/hooks.rs
+++ b/crates/marigoldloom_query/src/hooks.rs
@@ -140,6 +140,8 @@
     pub own: &'a fingerprint::Strikes,
     /// The strikes over all instances, as far as they are known here.
     pub total: &'a fingerprint::Strikes,
+    /// Whether instances refuse the request, or did so before its strikes were cleared.
+    pub refused: bool,
     /// The upstream whose end added the strike; `None` if it is unknown or there was none.
     pub upstream: Option<&'a str>,
     /// What shows that the upstream ended, or that the request is harmless.
--- a/crates/marigoldloom_query/src/shard.rs
+++ b/crates/marigoldloom_query/src/shard.rs
@@ -79,6 +79,8 @@
     pub(crate) shards_queried: AtomicU32,
     /// Whether a request with this fingerprint is known to have run without a crash.
     pub(crate) harmless: AtomicBool,
+    /// Whether the request is refused and this run is to show whether it still crashes upstreams.
+    pub(crate) trial: AtomicBool,
     /// Whether this query already counted a strike against its fingerprint.
     pub(crate) strike_recorded: AtomicBool,
     /// Whether an upstream has run the request without a crash.
--- a/crates/marigoldloom_query/src/state.rs
+++ b/crates/marigoldloom_query/src/state.rs
@@ -87,7 +87,7 @@
             }),
             ramps: cold::Ramps::new(),
             pacer: pace::Pacer::new(),
-            crash_tracker: Arc::default(),
+            crash_tracker: Arc::new(fingerprint::CrashTracker::new(id_prefix)),
             suspects: silence::Suspects::default(),
             wakeup_lag: delay::DelayEstimate::default(),
             warm_reports: Mutex::default(),
@@ -290,14 +290,35 @@
         evidence: &'static str,
     ) {
         let now = self.rt.wall();
-        let Some(own) = self.crash_tracker.add_strike(now, fingerprint, run) else {
-            return;
-        };
+        if let Some(own) = self.crash_tracker.add_strike(now, fingerprint, run) {
+            let upstream = run.map(|run| run.upstream);
+            self.report_strikes(fingerprint, &own, upstream, evidence);
+        }
+    }
+
+    /// Begins a trial of a refused request, unless another one has begun.
+    pub(crate) fn begin_trial(&self, fingerprint: fingerprint::Fingerprint) -> bool {
+        let own = self.crash_tracker.begin_trial(self.rt.wall(), fingerprint);
+        if let Some(own) = &own {
+            self.report_strikes(fingerprint, own, None, "a trial begins");
+        }
+        own.is_some()
+    }
+
+    fn report_strikes(
+        &self,
+        fingerprint: fingerprint::Fingerprint,
+        own: &fingerprint::Strikes,
+        upstream: Option<&str>,
+        evidence: &'static str,
+    ) {
+        let total = self.crash_tracker.total(self.rt.wall(), fingerprint);
         self.hooks.observer().strikes_changed(&hooks::StrikeChange {
             fingerprint,
-            own: &own,
-            total: &self.crash_tracker.total(now, fingerprint),
-            upstream: run.map(|run| run.upstream),
+            own,
+            total: &total,
+            refused: total.count >= fingerprint::STRIKE_LIMIT,
+            upstream,
             evidence,
         });
     }
@@ -305,6 +326,7 @@
     /// Clears the strikes against a fingerprint after a run without a crash.
     pub(crate) fn clear_strikes(&self, fingerprint: fingerprint::Fingerprint) {
         self.clear_silence(fingerprint);
+        let refused = self.strike_count(fingerprint) >= fingerprint::STRIKE_LIMIT;
         let cleared = self
             .crash_tracker
             .clear_strikes(self.rt.wall(), fingerprint);
@@ -312,7 +334,8 @@
             self.hooks.observer().strikes_changed(&hooks::StrikeChange {
                 fingerprint,
                 own: &own,
-                total: &fingerprint::Strikes::default(),
+                total: &own,
+                refused,
                 upstream: None,
                 evidence: "an upstream survived a run",
             });
