--- a/crates/marigoldloom_front/src/decisions.rs
+++ b/crates/marigoldloom_front/src/decisions.rs
@@ -3,6 +3,7 @@
 
 use std::sync::Arc;
 
+use marigoldloom_limits::fingerprint::{Fingerprint, Silence};
 use marigoldloom_moves::window;
 use marigoldloom_peers::exchange::{Entry, Exchange};
 use marigoldloom_query::answer::Reason;
@@ -103,7 +104,9 @@
             fingerprint = %change.fingerprint,
             upstream = change.upstream,
             own = change.own.count,
-            total = change.total,
+            total = change.total.count,
+            trials = change.total.trials,
+            evidence = change.evidence,
             "strikes of a request changed"
         );
         let entry = strikes::entry(change.fingerprint, change.own, &self.writer);
@@ -114,6 +117,12 @@
         }
     }
 
+    fn silence_changed(&self, fingerprint: Fingerprint, silence: Silence) {
+        tracing::info!(%fingerprint, silent = silence.silent, "silent upstreams of a request changed");
+        let entry = strikes::silence_entry(fingerprint, silence, &self.writer);
+        self.exchange.publish(entry);
+    }
+
     fn decision_made(&self, decision: &Decision<'_>) {
         self.metrics.record_decision(decision.kind);
         tracing::info!(
--- a/crates/marigoldloom_limits/src/fingerprint.rs
+++ b/crates/marigoldloom_limits/src/fingerprint.rs
@@ -23,6 +23,29 @@
 /// until this time has passed since the latest of them.
 pub const QUARANTINE: Duration = Duration::from_secs(600);
 
+/// Time for which an upstream that is silent after a run counts like a strike. It is known by then
+/// whether it crashed.
+pub const SILENCE_TIME: Duration = Duration::from_secs(5);
+
+/// Time after which a request may be tried again that is refused because of silent upstreams.
+pub const SILENCE_PAUSE: Duration = Duration::from_secs(1);
+
+/// Time from the latest strike until a refused request is tried again, on one upstream. There are
+/// no further trials, so that a request that does crash upstreams takes down no more than two.
+const TRIAL_DELAYS: [Duration; 2] = [Duration::from_secs(10), Duration::from_secs(60)];
+
+/// Additional delay of a trial for each instance with later strikes, which tries first.
+const TRIAL_STAGGER: Duration = Duration::from_secs(15);
+
+/// Time between two reports by different instances of the same end of an upstream.
+const SAME_END: Duration = Duration::from_millis(300);
+
+/// Largest difference between the clocks of two instances at which their reports are compared.
+const CLOCK_TOLERANCE: Duration = Duration::from_secs(1);
+
+/// Number of ends of upstreams that are kept for each fingerprint and instance.
+const MAX_ENDS: usize = 8;
+
 /// Maximum number of fingerprints with strikes, each for own strikes and for those of peers. The
 /// oldest are dropped first.
 const MAX_STRUCK: usize = 4_096;
@@ -57,15 +80,78 @@
     }
 }
 
+/// The end of an upstream's process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub struct End {
+    /// Hash of the upstream's name.
+    pub upstream: u64,
+    /// When an instance noticed it.
+    pub at: time::WallTime,
+}
+
+/// A run under which an upstream ended.
+#[derive(Clone, Copy, Debug)]
+pub struct FatalRun<'a> {
+    /// Name of the upstream.
+    pub upstream: &'a str,
+    /// When the request was sent to it.
+    pub sent: time::WallTime,
+}
+
+impl FatalRun<'_> {
+    fn end(&self, now: time::WallTime) -> End {
+        End {
+            upstream: xxh3::xxh3_64(self.upstream.as_bytes()),
+            at: now,
+        }
+    }
+
+    /// Whether the run was under way when the upstream ended with `end`.
+    fn ended_with(&self, end: End, now: time::WallTime) -> bool {
+        let under_way = end.at >= self.sent && end.at.since(now) <= CLOCK_TOLERANCE;
+        under_way && end.upstream == self.end(now).upstream
+    }
+}
+
 /// Strikes against one fingerprint that one instance recorded.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 #[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub struct Strikes {
     /// Number of upstreams that crashed. Zero states that a run ended without a crash, which
     /// cancels the earlier strikes of all instances.
     pub count: u32,
-    /// When the latest of them crashed, or when the run ended.
+    /// When the latest of them crashed, when the latest trial began, or when the run ended.
+    pub latest: time::WallTime,
+    /// Random number of the process that recorded them.
+    #[serde(default)]
+    pub origin: u64,
+    /// Number of trials of the refused request that this instance began.
+    #[serde(default)]
+    pub trials: u32,
+    /// The latest of these crashes whose upstreams are known.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub ends: Vec<End>,
+}
+
+impl Strikes {
+    /// Order in which instances try a refused request, the greatest first. They often notice the end of
+    /// an upstream within the same millisecond.
+    const fn rank(&self) -> (time::WallTime, u64) {
+        (self.latest, self.origin)
+    }
+}
+
+/// Upstreams that one instance sent a request to and that have been silent since.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub struct Silence {
+    /// Number of upstreams.
+    pub silent: u32,
+    /// When the number changed.
     pub latest: time::WallTime,
 }
 
@@ -82,8 +168,10 @@
 
 /// Records strikes by fingerprint and by the instance that recorded them, and the fingerprints
 /// that are harmless.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct CrashTracker {
+    /// Random number of this process.
+    origin: u64,
     inner: Mutex<Inner>,
 }
 
@@ -91,6 +179,7 @@
 struct Inner {
     own: BTreeMap<Fingerprint, OwnStrikes>,
     peers: BTreeMap<Fingerprint, BTreeMap<Arc<str>, Strikes>>,
+    silence: BTreeMap<Fingerprint, BTreeMap<Arc<str>, Silence>>,
     /// Harmless fingerprints of the current generation.
     harmless: BTreeSet<Fingerprint>,
     /// Harmless fingerprints of the previous generation.
@@ -99,7 +188,7 @@
     canaries: BTreeSet<Fingerprint>,
 }
 
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct OwnStrikes {
     strikes: Strikes,
     /// Whether the one retry after a lost connection has been used.
@@ -107,9 +196,12 @@
 }
 
 impl CrashTracker {
-    /// Creates a tracker without fingerprints.
-    pub fn new() -> Self {
-        Self::default()
+    /// Creates a tracker without fingerprints. `origin` is a random number.
+    pub fn new(origin: u64) -> Self {
+        Self {
+            origin,
+            inner: Mutex::default(),
+        }
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
@@ -119,7 +211,7 @@
     /// Returns what is known about `fingerprint`.
     pub fn status(&self, now: time::WallTime, fingerprint: Fingerprint) -> Status {
         let inner = self.lock();
-        let (count, latest) = inner.total(now, fingerprint);
+        let Strikes { count, latest, .. } = inner.total(now, fingerprint);
         match count {
             0 if inner.is_harmless(fingerprint) => Status::Harmless,
             n if n < STRIKE_LIMIT => Status::Unknown,
@@ -129,13 +221,27 @@
 
     /// Returns the number of strikes against `fingerprint`, over all instances.
     pub fn strike_count(&self, now: time::WallTime, fingerprint: Fingerprint) -> u32 {
-        self.lock().total(now, fingerprint).0
+        self.total(now, fingerprint).count
+    }
+
+    /// Returns the strikes against `fingerprint`, over all instances.
+    pub fn total(&self, now: time::WallTime, fingerprint: Fingerprint) -> Strikes {
+        self.lock().total(now, fingerprint)
     }
 
     /// Records a strike. Returns all strikes of this instance against `fingerprint`, to be sent
-    /// to peers.
-    pub fn add_strike(&self, now: time::WallTime, fingerprint: Fingerprint) -> Strikes {
+    /// to peers; `None` if the end of the upstream under `run` has been counted already.
+    pub fn add_strike(
+        &self,
+        now: time::WallTime,
+        fingerprint: Fingerprint,
+        run: Option<FatalRun<'_>>,
+    ) -> Option<Strikes> {
         let mut inner = self.lock();
+        let ends = inner.total(now, fingerprint).ends;
+        if run.is_some_and(|run| ends.iter().any(|end| run.ended_with(*end, now))) {
+            return None;
+        }
         inner.harmless.remove(&fingerprint);
         inner.harmless_before.remove(&fingerprint);
         inner.evict_oldest();
@@ -145,8 +251,12 @@
             *own = OwnStrikes::default();
         }
         own.strikes.count += 1;
+        own.strikes.origin = self.origin;
         own.strikes.latest = now;
-        own.strikes
+        own.strikes.ends.extend(run.map(|run| run.end(now)));
+        let excess = own.strikes.ends.len().saturating_sub(MAX_ENDS);
+        own.strikes.ends.drain(..excess);
+        Some(own.strikes.clone())
     }
 
     /// Merges the strikes that the instance `origin` recorded, unless later ones are known.
@@ -160,6 +270,33 @@
         }
     }
 
+    /// Sets the number of upstreams that were silent after a run at the instance `origin`, unless a
+    /// later one is known.
+    pub fn merge_silence(&self, origin: &str, fingerprint: Fingerprint, silence: Silence) {
+        let mut inner = self.lock();
+        if inner.silence.len() >= MAX_STRUCK {
+            inner.silence.pop_first();
+        }
+        let origins = inner.silence.entry(fingerprint).or_default();
+        let known = origins.entry(Arc::from(origin)).or_default();
+        if silence.latest >= known.latest {
+            *known = silence;
+        }
+        origins.retain(|_, s| s.silent > 0);
+        if origins.is_empty() {
+            inner.silence.remove(&fingerprint);
+        }
+    }
+
+    /// Returns the number of upstreams that have been silent after runs at other instances.
+    pub fn silent_count(&self, now: time::WallTime, fingerprint: Fingerprint) -> u32 {
+        let inner = self.lock();
+        let origins = inner.silence.get(&fingerprint);
+        let live = origins.into_iter().flat_map(BTreeMap::values);
+        let live = live.filter(|s| now.since(s.latest) < SILENCE_TIME);
+        live.map(|s| s.silent).sum()
+    }
+
     /// Uses the one retry that a fingerprint has after a lost connection. Returns false if it has
     /// been used. A fingerprint without strikes of this instance may always retry.
     pub fn take_retry(&self, fingerprint: Fingerprint) -> bool {
@@ -189,7 +326,7 @@
     pub fn clear_strikes(&self, now: time::WallTime, fingerprint: Fingerprint) -> Option<Strikes> {
         self.mark_harmless(fingerprint);
         let mut inner = self.lock();
-        let (count, latest) = inner.total(now, fingerprint);
+        let Strikes { count, latest, .. } = inner.total(now, fingerprint);
         if count == 0 {
             return None;
         }
@@ -197,17 +334,50 @@
             count: 0,
             // Later than each strike even if the clocks of the instances differ.
             latest: now.max(latest + Duration::from_millis(1)),
+            ..Strikes::default()
         };
         inner.own.insert(
             fingerprint,
             OwnStrikes {
-                strikes,
+                strikes: strikes.clone(),
                 retried: false,
             },
         );
         Some(strikes)
     }
 
+    /// Returns the time until an instance may try a refused request, or until it is no longer
+    /// refused if there are no further trials.
+    pub fn refusal_time(&self, now: time::WallTime, fingerprint: Fingerprint) -> Duration {
+        let total = self.total(now, fingerprint);
+        let age = now.since(total.latest);
+        match trial_delay(total.trials) {
+            Some(delay) if age < delay => delay - age,
+            // Another instance may know of the trial's result.
+            Some(_) => SILENCE_PAUSE,
+            None => QUARANTINE.saturating_sub(age),
+        }
+    }
+
+    /// Whether this instance may try the refused request: it has recorded strikes against it, and
+    /// instances with later strikes have let their time for it pass.
+    pub fn is_trial_due(&self, now: time::WallTime, fingerprint: Fingerprint) -> bool {
+        self.lock().is_trial_due(now, fingerprint)
+    }
+
+    /// Begins a trial of a refused request. Returns all strikes of this instance, to be sent to
+    /// peers; `None` if no trial is due.
+    pub fn begin_trial(&self, now: time::WallTime, fingerprint: Fingerprint) -> Option<Strikes> {
+        let mut inner = self.lock();
+        if !inner.is_trial_due(now, fingerprint) {
+            return None;
+        }
+        let strikes = &mut inner.own.get_mut(&fingerprint)?.strikes;
+        strikes.trials += 1;
+        strikes.latest = now;
+        Some(strikes.clone())
+    }
+
     /// Claims the canary run of `fingerprint`: the run on a single shard that shows whether the
     /// request crashes upstreams. None while another request holds it.
     pub fn claim_canary(self: &Arc<Self>, fingerprint: Fingerprint) -> Option<Canary> {
@@ -224,14 +394,14 @@
         self.harmless.contains(&fingerprint) || self.harmless_before.contains(&fingerprint)
     }
 
-    fn strikes(&self, fingerprint: Fingerprint) -> impl Iterator<Item = Strikes> {
-        let own = self.own.get(&fingerprint).map(|o| o.strikes);
+    fn strikes(&self, fingerprint: Fingerprint) -> impl Iterator<Item = &Strikes> {
+        let own = self.own.get(&fingerprint).map(|o| &o.strikes);
         let peers = self
             .peers
             .get(&fingerprint)
             .into_iter()
             .flat_map(BTreeMap::values);
-        peers.copied().chain(own)
+        peers.chain(own)
     }
 
     /// When a run of the request last ended without a crash although there were strikes.
@@ -240,14 +410,44 @@
         runs.map(|s| s.latest).max().unwrap_or_default()
     }
 
-    fn total(&self, now: time::WallTime, fingerprint: Fingerprint) -> (u32, time::WallTime) {
+    fn is_trial_due(&self, now: time::WallTime, fingerprint: Fingerprint) -> bool {
+        let total = self.total(now, fingerprint);
+        let own = self.own.get(&fingerprint).map(|o| &o.strikes);
+        let own = own.filter(|s| s.count > 0 && s.latest > self.exonerated_at(fingerprint));
+        let peers = self.peers.get(&fingerprint);
+        let peers = peers.into_iter().flat_map(BTreeMap::values);
+        let later = own.map(|own| peers.filter(|s| s.count > 0 && s.rank() >= own.rank()));
+        match (later.map(Iterator::count), trial_delay(total.trials)) {
+            (Some(later), Some(delay)) if total.count >= STRIKE_LIMIT => {
+                let later = u32::try_from(later).unwrap_or(u32::MAX);
+                let delay = delay.saturating_add(TRIAL_STAGGER.saturating_mul(later));
+                now.since(total.latest) >= delay
+            }
+            _ => false,
+        }
+    }
+
+    /// Strikes of all instances. The end of an upstream counts once, however many runs and instances
+    /// it hit.
+    fn total(&self, now: time::WallTime, fingerprint: Fingerprint) -> Strikes {
         let exonerated = self.exonerated_at(fingerprint);
         let live = self
             .strikes(fingerprint)
             .filter(|s| !expired(now, s.latest) && s.latest > exonerated);
-        live.fold((0, time::WallTime::default()), |(count, latest), s| {
-            (count.saturating_add(s.count), latest.max(s.latest))
-        })
+        let mut total = Strikes::default();
+        for strikes in live {
+            let known = u32::try_from(strikes.ends.len()).unwrap_or(u32::MAX);
+            total.count += strikes.count.saturating_sub(known);
+            total.latest = total.latest.max(strikes.latest);
+            total.trials += strikes.trials;
+            for end in &strikes.ends {
+                if !total.ends.iter().any(|other| is_same(*other, *end)) {
+                    total.ends.push(*end);
+                    total.count += 1;
+                }
+            }
+        }
+        total
     }
 
     /// Drops the oldest strikes when there are too many. Callers could otherwise fill the memory
@@ -267,6 +467,17 @@
     }
 }
 
+/// Delay of the next trial after `trials`; `None` if there is none.
+fn trial_delay(trials: u32) -> Option<Duration> {
+    let index = usize::try_from(trials).ok()?;
+    TRIAL_DELAYS.get(index).copied()
+}
+
+fn is_same(a: End, b: End) -> bool {
+    let apart = a.at.since(b.at).max(b.at.since(a.at));
+    a.upstream == b.upstream && apart < SAME_END
+}
+
 fn expired(now: time::WallTime, latest: time::WallTime) -> bool {
     now.since(latest) >= QUARANTINE
 }
--- a/crates/marigoldloom_query/src/crashes.rs
+++ b/crates/marigoldloom_query/src/crashes.rs
@@ -1,15 +1,91 @@
 //! Counts crashes of upstreams against the requests that they ran.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use marigoldloom_limits::fingerprint;
+use marigoldloom_routing::health;
 use marigoldloom_runtime::runtime::Runtime;
+use marigoldloom_runtime::time::{Timestamp, WallTime};
 use marigoldloom_upstream::{message, upstream};
 
-use crate::engine;
 use crate::hooks::Hooks;
 use crate::shard::Query;
+use crate::silence::{End, Run, Suspect};
+use crate::state::Core;
+use crate::{attempt, engine};
+
+/// Counts the end of an upstream during an attempt as a strike against the request, unless another
+/// upstream has run the request without a crash. Part of the attempt, because that may outlive the
+/// query.
+pub(crate) struct Watch<R: Runtime, U: upstream::Upstream, H: Hooks> {
+    core: Arc<Core<R, U, H>>,
+    run: Run,
+    health: Arc<health::Health>,
+    /// When the subquery was handed to a connection; zero if it wasn't.
+    sent: Arc<AtomicU64>,
+    /// Why there is no result; `None` if there is one.
+    end: Option<End>,
+}
+
+impl<R: Runtime, U: upstream::Upstream, H: Hooks> Watch<R, U, H> {
+    fn sent(&self) -> Timestamp {
+        Timestamp::from_nanos(self.sent.load(Ordering::Relaxed))
+    }
+
+    /// Runs `attempt` and counts a strike if its upstream ended.
+    pub(crate) async fn watch(
+        mut self,
+        attempt: impl Future<Output = Result<message::Reply, upstream::Error>> + Send,
+    ) -> Result<message::Reply, upstream::Error> {
+        let result = attempt.await;
+        self.end = match &result {
+            Err(upstream::Error::TimedOut) => Some(End::TimedOut),
+            Err(upstream::Error::Lost) => Some(End::Lost),
+            _ => None,
+        };
+        if self.core.settings.canary != engine::CanaryPolicy::AfterStrike {
+            return result;
+        }
+        let survived = match &result {
+            Ok(_) => true,
+            Err(error) => error.survived(),
+        };
+        match &result {
+            Err(upstream::Error::Ended) => {
+                let evidence = "a connection was lost and its address refuses new ones";
+                self.core.record_end(&self.run, self.sent(), evidence);
+            }
+            _ if survived && !self.run.survived.swap(true, Ordering::Relaxed) => {
+                for fingerprint in self.run.fingerprints() {
+                    self.core.clear_strikes(fingerprint);
+                }
+            }
+            _ => {}
+        }
+        result
+    }
+}
+
+impl<R: Runtime, U: upstream::Upstream, H: Hooks> Drop for Watch<R, U, H> {
+    /// Keeps an eye on an upstream that gave no response: it may have crashed.
+    fn drop(&mut self) {
+        let counted = self.core.settings.canary == engine::CanaryPolicy::AfterStrike;
+        let survived = self.run.survived.load(Ordering::Relaxed);
+        match self.end {
+            Some(end) if counted && !survived && self.sent() > Timestamp::ZERO => {
+                self.core.suspect(Suspect {
+                    run: self.run.clone(),
+                    health: Arc::clone(&self.health),
+                    sent: self.sent(),
+                    since: self.core.rt.now(),
+                    end,
+                });
+            }
+            _ => {}
+        }
+    }
+}
 
 impl<R: Runtime, U: upstream::Upstream, H: Hooks> Query<'_, R, U, H> {
     /// Fingerprints under which crashes are counted.
@@ -33,45 +109,47 @@
         self.fingerprints().for_each(|f| self.core.clear_strikes(f));
     }
 
-    /// Counts the end of an upstream during `attempt` as a strike against the fingerprint, unless
-    /// another upstream has run the request without a crash. Happens in the attempt itself, because
-    /// it may outlive the query.
-    pub(crate) fn watch_crash<F>(
+    /// Returns what counts the end of the reserved upstream as a strike against the request.
+    pub(crate) fn crash_watch(
         &self,
-        upstream: Arc<str>,
-        attempt: F,
-    ) -> impl Future<Output = Result<message::Reply, upstream::Error>> + Send + use<F, R, U, H>
-    where
-        F: Future<Output = Result<message::Reply, upstream::Error>> + Send,
-    {
-        let core = Arc::clone(self.core);
-        let (fingerprints, survived) = (self.fingerprints(), Arc::clone(&self.survived));
-        async move {
-            let result = attempt.await;
-            if core.settings.canary != engine::CanaryPolicy::AfterStrike {
-                return result;
-            }
-            match &result {
-                Err(upstream::Error::Ended) if !survived.load(Ordering::Relaxed) => {
-                    for fingerprint in fingerprints {
-                        core.add_strike(fingerprint, Some(&upstream));
-                    }
-                }
-                Ok(_) if !survived.swap(true, Ordering::Relaxed) => {
-                    fingerprints.for_each(|f| core.clear_strikes(f));
-                }
-                Err(error) if error.survived() && !survived.swap(true, Ordering::Relaxed) => {
-                    fingerprints.for_each(|f| core.clear_strikes(f));
-                }
-                _ => {}
-            }
-            result
+        reservation: &attempt::Reservation<R, U, H>,
+    ) -> Watch<R, U, H> {
+        Watch {
+            core: Arc::clone(self.core),
+            run: Run {
+                fingerprints: [Some(self.fingerprint), self.call_fingerprint],
+                service: Arc::clone(&self.request.service),
+                replica: Arc::clone(&reservation.replica),
+                survived: Arc::clone(&self.survived),
+            },
+            health: Arc::clone(&reservation.health),
+            sent: Arc::clone(&reservation.sent),
+            end: Some(End::Abandoned),
         }
     }
 
-    /// Whether an upstream crashed while it ran a request with this fingerprint.
+    /// Begins a trial of the request if it is refused and this instance is to try it: strikes may have
+    /// come from crashes that had other causes. A trial that an upstream survives clears them.
+    pub(crate) fn begin_trial(&self, now: WallTime) -> bool {
+        let tracker = &self.core.crash_tracker;
+        let refused = |f: &fingerprint::Fingerprint| {
+            let count = self.core.suspected_count(*f);
+            count >= fingerprint::STRIKE_LIMIT
+        };
+        let refused: Vec<_> = self.fingerprints().filter(refused).collect();
+        let due = self.core.settings.canary == engine::CanaryPolicy::AfterStrike
+            && !refused.is_empty()
+            && refused.iter().all(|f| tracker.is_trial_due(now, *f))
+            && refused.iter().all(|f| self.core.begin_trial(*f));
+        self.trial.fetch_or(due, Ordering::Relaxed);
+        due
+    }
+
+    /// Whether an upstream crashed, or may have crashed, while it ran a request with this
+    /// fingerprint.
     pub(crate) fn has_strikes(&self) -> bool {
-        self.strike_count() > 0
+        self.fingerprints()
+            .any(|f| self.core.suspected_count(f) > 0)
     }
 
     /// Whether the request may crash its upstreams. A hedge would then take down the second
@@ -86,7 +164,7 @@
 
     /// Handles a lost connection. Returns whether the subquery may be retried.
     ///
-    /// If canaries run after strikes only, [`Self::watch_crash`] counts the strikes, and retries end
+    /// If canaries run after strikes only, [`Watch`] counts the strikes, and retries end
     /// at the limit. Otherwise each lost connection counts. A request that ran elsewhere without a
     /// crash was then probably affected by another request's crash or by the loss of a failure
     /// domain: it gets at most one strike and its shards may be retried. Any other fingerprint has a
@@ -103,7 +181,8 @@
         // A connection reset can hit many attempts at once, so only the first one counts.
         if !self.strike_recorded.swap(true, Ordering::Relaxed) || !harmless {
             for fingerprint in self.fingerprints() {
-                self.core.add_strike(fingerprint, None);
+                self.core
+                    .add_strike(fingerprint, None, "a connection was lost");
             }
         }
         harmless || !needs_canary && self.core.crash_tracker.take_retry(self.fingerprint)
--- a/crates/marigoldloom_query/src/shard.rs
+++ b/crates/marigoldloom_query/src/shard.rs
@@ -79,6 +79,8 @@
     pub(crate) shards_queried: AtomicU32,
     /// Whether a request with this fingerprint is known to have run without a crash.
     pub(crate) harmless: AtomicBool,
+    /// Whether the request is refused and this run is to show whether it still crashes upstreams.
+    pub(crate) trial: AtomicBool,
     /// Whether this query already counted a strike against its fingerprint.
     pub(crate) strike_recorded: AtomicBool,
     /// Whether an upstream has run the request without a crash.
@@ -233,8 +235,9 @@
         let cold = reservation.cold;
         self.run_counter.add();
         let error_replies = self.request.policy.error_replies;
+        let watch = self.crash_watch(&reservation);
         let attempt = reservation.send(subquery, Arc::clone(&self.run_counter), error_replies);
-        let attempt = self.watch_crash(Arc::clone(&name), attempt);
+        let attempt = watch.watch(attempt);
         let result = match self.core.settings.losing_attempts {
             engine::LosingAttempts::Cancel => attempt.await,
             engine::LosingAttempts::Finish => self.run_detached(attempt).await,
--- a/crates/marigoldloom_query/src/state.rs
+++ b/crates/marigoldloom_query/src/state.rs
@@ -14,8 +14,8 @@
 use marigoldloom_upstream::message;
 use serde_json::json;
 
-use crate::engine;
 use crate::hooks::{self, Hooks, Observer};
+use crate::{engine, silence};
 
 /// Hedge delay of a route until its latency quantile is known.
 const INITIAL_HEDGE_DELAY: Duration = Duration::from_millis(50);
@@ -44,6 +44,7 @@
     pub(crate) ramps: cold::Ramps,
     pub(crate) pacer: pace::Pacer,
     pub(crate) crash_tracker: Arc<fingerprint::CrashTracker>,
+    pub(crate) suspects: silence::Suspects,
     /// How late a query wakes up when a partial answer is due, e.g. because the replies to other
     /// queries are being read.
     pub(crate) wakeup_lag: delay::DelayEstimate,
@@ -86,7 +87,8 @@
             }),
             ramps: cold::Ramps::new(),
             pacer: pace::Pacer::new(),
-            crash_tracker: Arc::default(),
+            crash_tracker: Arc::new(fingerprint::CrashTracker::new(id_prefix)),
+            suspects: silence::Suspects::default(),
             wakeup_lag: delay::DelayEstimate::default(),
             warm_reports: Mutex::default(),
             topology: RwLock::default(),
@@ -122,6 +124,7 @@
             .unwrap_or_else(PoisonError::into_inner);
         *current = Some(topology);
         drop(current);
+        self.resolve_suspects();
         for (name, cause) in cold_starts {
             self.ramps.reset(&name);
             match cause {
@@ -278,28 +281,63 @@
         self.crash_tracker.strike_count(now, fingerprint)
     }
 
-    /// Counts a strike against a fingerprint. `upstream` is the upstream that ended, if known.
-    pub(crate) fn add_strike(&self, fingerprint: fingerprint::Fingerprint, upstream: Option<&str>) {
-        let strikes = self.crash_tracker.add_strike(self.rt.wall(), fingerprint);
+    /// Counts a strike against a fingerprint, unless the end of the upstream under `run` has been
+    /// counted. `evidence` shows that the upstream ended.
+    pub(crate) fn add_strike(
+        &self,
+        fingerprint: fingerprint::Fingerprint,
+        run: Option<fingerprint::FatalRun<'_>>,
+        evidence: &'static str,
+    ) {
+        let now = self.rt.wall();
+        if let Some(own) = self.crash_tracker.add_strike(now, fingerprint, run) {
+            let upstream = run.map(|run| run.upstream);
+            self.report_strikes(fingerprint, &own, upstream, evidence);
+        }
+    }
+
+    /// Begins a trial of a refused request, unless another one has begun.
+    pub(crate) fn begin_trial(&self, fingerprint: fingerprint::Fingerprint) -> bool {
+        let own = self.crash_tracker.begin_trial(self.rt.wall(), fingerprint);
+        if let Some(own) = &own {
+            self.report_strikes(fingerprint, own, None, "a trial begins");
+        }
+        own.is_some()
+    }
+
+    fn report_strikes(
+        &self,
+        fingerprint: fingerprint::Fingerprint,
+        own: &fingerprint::Strikes,
+        upstream: Option<&str>,
+        evidence: &'static str,
+    ) {
+        let total = self.crash_tracker.total(self.rt.wall(), fingerprint);
         self.hooks.observer().strikes_changed(&hooks::StrikeChange {
             fingerprint,
-            own: strikes,
-            total: self.strike_count(fingerprint),
+            own,
+            total: &total,
+            refused: total.count >= fingerprint::STRIKE_LIMIT,
             upstream,
+            evidence,
         });
     }
 
     /// Clears the strikes against a fingerprint after a run without a crash.
     pub(crate) fn clear_strikes(&self, fingerprint: fingerprint::Fingerprint) {
+        self.clear_silence(fingerprint);
+        let refused = self.strike_count(fingerprint) >= fingerprint::STRIKE_LIMIT;
         let cleared = self
             .crash_tracker
             .clear_strikes(self.rt.wall(), fingerprint);
         if let Some(own) = cleared {
             self.hooks.observer().strikes_changed(&hooks::StrikeChange {
                 fingerprint,
-                own,
-                total: 0,
+                own: &own,
+                total: &own,
+                refused,
                 upstream: None,
+                evidence: "an upstream survived a run",
             });
         }
     }
