Count suspensions of the machine in the runtime's clock

After a machine was suspended, an instance went on as if no time had passed: leases, claims, shares, ages of records, drain times and request deadlines that had run out meanwhile still counted as valid, and timers fired late by the length of the suspension. Cause: the runtime read std::time::Instant, CLOCK_MONOTONIC on Linux, which stands still.

The runtime reads CLOCK_BOOTTIME (rustix, declared already, feature time) and falls back to the steady clock if the system has no such time. Timers still run on the steady clock; a task compares both clocks each 250 ms and wakes them after a suspension of 20 ms or more, with one log line. A suspended process now sees what one that was stopped with SIGSTOP sees.

--- a/crates/marigoldloom_daemon/src/command.rs
+++ b/crates/marigoldloom_daemon/src/command.rs
@@ -11,6 +11,7 @@
 use lexopt::Arg;
 use marigoldloom_platform::http;
 use marigoldloom_runtime::async_std_runtime::AsyncStd;
+use marigoldloom_runtime::runtime::Runtime;
 use marigoldloom_settings::{error as settings_error, load, settings};
 use marigoldloom_telemetry::log;
 
@@ -176,6 +177,8 @@
         ..http::Timeouts::default()
     };
     let platform = http::HttpPlatform::new(settings.platform.address, timeouts);
-    let instance = instance::Instance::start(AsyncStd::new(), platform, settings);
+    let rt = AsyncStd::new();
+    rt.spawn(rt.watch_suspensions());
+    let instance = instance::Instance::start(rt, platform, settings);
     task::block_on(async move { Ok(instance.await?.run_until_signal().await?) })
 }
--- a/crates/marigoldloom_front/src/instance.rs
+++ b/crates/marigoldloom_front/src/instance.rs
@@ -129,6 +129,7 @@
     dropped: impl Fn() -> DroppedLines + Send + 'static,
 ) -> Result<(), Error> {
     let rt = AsyncStd::new();
+    rt.spawn(rt.watch_suspensions());
     let signals = Signals::new([signal::SIGTERM, signal::SIGINT, signal::SIGHUP]);
     let signals = signals.map_err(Error::Signals)?;
     let metrics = Metrics::new()?;
--- a/crates/marigoldloom_runtime/src/lib.rs
+++ b/crates/marigoldloom_runtime/src/lib.rs
@@ -4,6 +4,7 @@
 //! runs on async-std in the daemon and on a seeded virtual-time executor in tests.
 
 pub mod async_std_runtime;
+pub mod clock;
 pub mod delay;
 pub mod runtime;
 pub mod scope;
