Count suspensions of the machine as idle time of connections

A pooled connection was used although it had been idle for longer than its timeout, if the machine had been suspended meanwhile: the server may have closed it or be gone without a reset, and a request that may run once only then ends with an unknown outcome. Cause: the pool measured idle times with std::time::Instant. It now reads the clock that counts suspensions, also for its deadlines.

--- a/crates/marigoldloom_http/src/pool.rs
+++ b/crates/marigoldloom_http/src/pool.rs
@@ -3,11 +3,12 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use async_lock::{Semaphore, SemaphoreGuard, SemaphoreGuardArc};
 use async_std::future;
 use derive_more::derive;
+use marigoldloom_runtime::clock::{Clock, SystemClock};
 
 use crate::client;
 use crate::message;
@@ -87,7 +88,8 @@
 struct Idle<C> {
     connection: C,
     start_id: Option<u64>,
-    since: Instant,
+    /// When it became idle, on the pool's clock.
+    since: Duration,
 }
 
 /// A connection and the start id of the server process, if it is known.
@@ -96,6 +98,7 @@
 struct Shared<C> {
     address: SocketAddr,
     settings: Settings,
+    clock: fn() -> Duration,
     permits: Arc<Semaphore>,
     size: Mutex<Size>,
     opening: Semaphore,
@@ -137,6 +140,11 @@
 impl<C: Reusable> Pool<C> {
     /// Creates a pool without connections.
     pub fn new(address: SocketAddr, settings: Settings) -> Self {
+        Self::with_clock(address, settings, || SystemClock.elapsed())
+    }
+
+    /// Like [`Pool::new`], but reads the time since a fixed point from `clock`.
+    pub fn with_clock(address: SocketAddr, settings: Settings, clock: fn() -> Duration) -> Self {
         let limit = settings.max_connections.max(1);
         let shared = Shared {
             address,
@@ -144,6 +152,7 @@
             size: Mutex::new(Size { limit, surplus: 0 }),
             opening: Semaphore::new(settings.max_opening),
             settings,
+            clock,
             idle: Mutex::default(),
         };
         Self {
@@ -200,7 +209,7 @@
         limit: Duration,
         accepts: impl Fn(&C) -> bool,
     ) -> Result<Lease<C>, Error> {
-        let deadline = Instant::now() + limit;
+        let deadline = (self.shared.clock)() + limit;
         let permit = self.acquire(limit).await?;
         let ((connection, start_id), reused) = match self.take_idle(&accepts) {
             Some(idle) => (idle, true),
@@ -221,7 +230,7 @@
     ///
     /// [`Error`] if there is no connection in time.
     pub async fn lease_new(&self, limit: Duration) -> Result<Lease<C>, Error> {
-        let deadline = Instant::now() + limit;
+        let deadline = (self.shared.clock)() + limit;
         let permit = self.acquire(limit).await?;
         self.trim_idle();
         let _gate = self.await_opening(deadline).await?;
@@ -245,7 +254,7 @@
     /// was used before.
     async fn open(
         &self,
-        deadline: Instant,
+        deadline: Duration,
         accepts: impl Fn(&C) -> bool,
     ) -> Result<(IdentifiedConnection<C>, bool), Error> {
         let _gate = self.await_opening(deadline).await?;
@@ -259,19 +268,19 @@
     }
 
     /// Waits until fewer than [`Settings::max_opening`] connections are being opened.
-    async fn await_opening(&self, deadline: Instant) -> Result<SemaphoreGuard<'_>, Error> {
-        let left = deadline.saturating_duration_since(Instant::now());
+    async fn await_opening(&self, deadline: Duration) -> Result<SemaphoreGuard<'_>, Error> {
+        let left = deadline.saturating_sub((self.shared.clock)());
         let gate = future::timeout(left, self.shared.opening.acquire()).await;
         gate.map_err(|_elapsed| Error::TimedOut)
     }
 
-    async fn connect(&self, deadline: Instant) -> Result<C, Error> {
+    async fn connect(&self, deadline: Duration) -> Result<C, Error> {
         let settings = &self.shared.settings;
-        let left = deadline.saturating_duration_since(Instant::now());
+        let left = deadline.saturating_sub((self.shared.clock)());
         let limit = left.min(settings.connect_timeout);
         match C::open(self.shared.address, settings, limit).await {
             Ok(connection) => Ok(connection),
-            Err(_) if left < settings.connect_timeout && Instant::now() >= deadline => {
+            Err(_) if left < settings.connect_timeout && (self.shared.clock)() >= deadline => {
                 Err(Error::TimedOut)
             }
             Err(_) => Err(Error::Unreachable),
@@ -310,9 +319,10 @@
                 last
             }
         };
+        let now = (self.shared.clock)();
         while idle
             .front()
-            .is_some_and(|e| e.since.elapsed() > limit(idle.len() - 1))
+            .is_some_and(|e| now.saturating_sub(e.since) > limit(idle.len() - 1))
         {
             idle.pop_front();
         }
@@ -353,6 +363,11 @@
         &mut self.connection
     }
 
+    /// Whether the connection carried requests before this lease.
+    pub const fn is_reused(&self) -> bool {
+        self.reused
+    }
+
     /// Start id of the server process; `None` until [`Self::set_start_id`] is called on this
     /// connection.
     pub const fn start_id(&self) -> Option<u64> {
@@ -370,7 +385,7 @@
         let shared = &self.permit.shared;
         let (connection, start_id) = (self.connection, self.start_id);
         if connection.is_usable() && shared.size().surplus == 0 {
-            let since = Instant::now();
+            let since = (shared.clock)();
             shared.idle().push_back(Idle {
                 connection,
                 start_id,
