Let the connection to the platform lapse with its last sign

An instance that was paused or suspended went on as if it were connected to the platform: it answered polls of other instances with its old records, and the first tick of a version move counted it as informed, so that a version that had been taken back meanwhile could get its share again, until a check noticed 0.2 to 1.7 s later. Cause: the connection was a flag that only a task clears, and the tasks stand still during the pause.

The feed keeps when the platform last answered, directly or through other instances, and each use checks the age against the limit that followers had (2.75 s).

--- a/crates/marigoldloom_catalog/src/feed.rs
+++ b/crates/marigoldloom_catalog/src/feed.rs
@@ -1,7 +1,6 @@
 //! Serves the platform's records from one instance to others.
 
 use std::collections::BTreeMap;
-use std::mem;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -9,6 +8,7 @@
 use marigoldloom_runtime::time::Timestamp;
 use serde::{Deserialize, Serialize};
 
+use crate::relay;
 use crate::source::{Changes, Kind, Listing, Record, Revision};
 
 /// Number of removed records that are remembered for each kind, so that an instance that knows an
@@ -70,8 +70,9 @@
 #[derive(Debug, Default)]
 struct State {
     kinds: BTreeMap<Kind, KindRecords>,
-    /// Whether this instance is connected to the platform, directly or through other instances.
-    live: bool,
+    /// When the platform was last known to answer, directly or through other instances; `None`
+    /// while this instance is disconnected from it.
+    answered_at: Option<Timestamp>,
     recovered_at: Option<Timestamp>,
 }
 
@@ -91,19 +92,34 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Sets whether this instance is connected to the platform, directly or through other
-    /// instances. Polls are answered only while it is.
-    pub fn set_live(&self, live: bool) {
-        let was = mem::replace(&mut self.state().live, live);
-        if was != live {
+    /// Records that this instance was connected to the platform at `now`, directly or through other
+    /// instances. Polls are answered for [`relay::STALE_AFTER`] from then on.
+    pub fn set_connected(&self, now: Timestamp) {
+        let was = self.state().answered_at.replace(now);
+        if was.is_none() {
+            self.notifier.notify(usize::MAX);
+        }
+    }
+
+    /// Like [`Feed::set_connected`], but has no effect while this instance is disconnected.
+    pub fn confirm(&self, now: Timestamp) {
+        if let Some(at) = &mut self.state().answered_at {
+            *at = now;
+        }
+    }
+
+    /// Records that this instance isn't connected to the platform. Polls aren't answered.
+    pub fn set_disconnected(&self) {
+        let was = self.state().answered_at.take();
+        if was.is_some() {
             self.notifier.notify(usize::MAX);
         }
     }
 
     /// Returns whether this instance is connected to the platform, directly or through other
-    /// instances.
-    pub fn is_live(&self) -> bool {
-        self.state().live
+    /// instances, and the last sign of it isn't outdated: the process may have been paused.
+    pub fn is_live(&self, now: Timestamp) -> bool {
+        self.state().is_live(now)
     }
 
     /// Sets when the platform last answered again after an outage.
@@ -168,7 +184,7 @@
 
     fn update_since(&self, now: Timestamp, known: &Revisions) -> Option<Update> {
         let state = self.state();
-        if !state.live {
+        if !state.is_live(now) {
             return None;
         }
         let batches = state.kinds.iter().filter_map(|(kind, records)| {
@@ -183,6 +199,13 @@
     }
 }
 
+impl State {
+    fn is_live(&self, now: Timestamp) -> bool {
+        self.answered_at
+            .is_some_and(|at| now.since(at) <= relay::STALE_AFTER)
+    }
+}
+
 impl KindRecords {
     fn set(&mut self, name: &Arc<str>, revision: Revision, record: Option<Record>) {
         let known = self.records.get(name).map(|(_, record)| record);
--- a/crates/marigoldloom_catalog/src/follower.rs
+++ b/crates/marigoldloom_catalog/src/follower.rs
@@ -161,7 +161,7 @@
     /// answering or the watches turn out to be stalled.
     async fn watch_platform(&self) {
         tracing::info!("following the platform");
-        self.sources.feed.set_live(false);
+        self.sources.feed.set_disconnected();
         let kinds = pin::pin!(future::join_all(
             Kind::ALL.map(|kind| self.follow_kind(kind))
         ));
@@ -170,7 +170,7 @@
         let until_peers_ready = pin::pin!(self.until_peers_ready());
         let followed = future::select(future::select(kinds, until_unanswered), until_outdated);
         match future::select(followed, until_peers_ready).await {
-            Either::Left(_) => self.sources.feed.set_live(false),
+            Either::Left(_) => self.sources.feed.set_disconnected(),
             Either::Right(_) => {
                 self.state().down_since = None;
                 self.publish_peer_records(self.rt.now());
@@ -188,7 +188,10 @@
             let check = self.sources.platform.check();
             let answer = runtime::timeout(&self.rt, CHECK_TIMEOUT, check).await;
             let error = match answer {
-                Ok(Ok(())) => continue,
+                Ok(Ok(())) => {
+                    self.sources.feed.confirm(self.rt.now());
+                    continue;
+                }
                 Ok(Err(error)) => error,
                 Err(elapsed) => Error::Unreachable {
                     reason: elapsed.to_string(),
@@ -226,13 +229,13 @@
             };
             while same() {
                 if self.rt.now().since(self.state().last_update) > relay::STALE_AFTER {
-                    self.sources.feed.set_live(false);
+                    self.sources.feed.set_disconnected();
                 }
                 self.rt.sleep(DISCONNECTED_PAUSE).await;
             }
         };
         if let Either::Left(_) = future::select(pin::pin!(polls), pin::pin!(role_changed)).await {
-            self.sources.feed.set_live(false);
+            self.sources.feed.set_disconnected();
         }
     }
 
@@ -285,9 +288,10 @@
     fn publish_peer_records(&self, now: Timestamp) {
         let mut state = self.state();
         state.last_update = now;
-        self.sources
-            .feed
-            .set_live(state.known.len() == Kind::ALL.len());
+        match state.known.len() == Kind::ALL.len() {
+            true => self.sources.feed.set_connected(now),
+            false => self.sources.feed.set_disconnected(),
+        }
     }
 
     fn apply_update(&self, update: Update) {
@@ -444,9 +448,10 @@
     fn publish(&self) {
         let state = self.state();
         let complete = state.known.len() == Kind::ALL.len();
-        self.sources
-            .feed
-            .set_live(complete && state.down_since.is_none());
+        match complete && state.down_since.is_none() {
+            true => self.sources.feed.set_connected(self.rt.now()),
+            false => self.sources.feed.set_disconnected(),
+        }
     }
 
     /// Records that a call to the platform failed, which starts an outage.
@@ -454,7 +459,7 @@
         let mut state = self.state();
         if state.down_since.is_none() {
             state.down_since = Some(self.rt.now());
-            self.sources.feed.set_live(false);
+            self.sources.feed.set_disconnected();
             tracing::warn!(%kind, %error, "the platform doesn't answer; the last records stay in force");
         }
     }
--- a/crates/marigoldloom_catalog/tests/relay.rs
+++ b/crates/marigoldloom_catalog/tests/relay.rs
@@ -66,6 +66,8 @@
     platform: FakePlatform,
     network: PeerNetwork,
     latest: BTreeMap<Arc<str>, LatestView>,
+    /// The process of each instance.
+    processes: BTreeMap<Arc<str>, VirtualRuntime>,
     /// Instances that watch the platform while no instance fails.
     watchers: Vec<Arc<str>>,
 }
@@ -88,7 +90,7 @@
         };
         let members: Vec<_> = names.iter().map(|n| member(n.as_ref())).collect();
         let mut latest = BTreeMap::new();
-        let mut watchers = Vec::new();
+        let (mut watchers, mut processes) = (Vec::new(), BTreeMap::new());
         for own in &members {
             let name = &own.candidate.name;
             let roster = Roster::new(own.candidate.clone());
@@ -109,7 +111,9 @@
             let views = LatestView::default();
             latest.insert(Arc::clone(name), views.clone());
             let apply = move |view| views.set(Arc::new(view));
-            rt.spawn(follower::follow(rt.clone(), sources, place, apply));
+            let process = rt.fork();
+            process.spawn(follower::follow(process.clone(), sources, place, apply));
+            processes.insert(Arc::clone(name), process);
         }
         rt.sleep(SETTLE_TIME).await;
         Self {
@@ -117,6 +121,7 @@
             platform,
             network,
             latest,
+            processes,
             watchers,
         }
     }
@@ -378,6 +383,44 @@
     });
 }
 
+/// Guards against an instance that was paused or suspended and then serves its old records, or acts
+/// on them, as if it were still connected to the platform.
+#[test]
+fn paused_instances_are_not_connected() {
+    const PAUSE: Duration = Duration::from_secs(5);
+    for is_watcher in [true, false] {
+        run(move |fleet| async move {
+            let chosen = |name: &&Arc<str>| fleet.watchers.contains(name) == is_watcher;
+            let name = fleet.processes.keys().find(chosen).unwrap();
+            let (process, feed) = (&fleet.processes[name], &fleet.network.feeds[name]);
+            assert!(feed.is_live(fleet.rt.now()));
+            process.pause();
+            fleet.rt.sleep(PAUSE).await;
+            assert!(!feed.is_live(fleet.rt.now()), "watcher: {is_watcher}");
+            let known = Revisions::new();
+            let update = feed.poll(&fleet.rt, &known, Duration::ZERO).await;
+            assert_eq!(update, None, "watcher: {is_watcher}");
+            process.resume();
+            fleet.rt.sleep(CONFIGURATION_DEADLINE).await;
+            assert!(feed.is_live(fleet.rt.now()), "watcher: {is_watcher}");
+        });
+    }
+}
+
+/// Guards against a connection to the platform that seems to be interrupted while nothing changes.
+#[test]
+fn connection_lasts_without_changes() {
+    run(|fleet| async move {
+        for _ in 0..600 {
+            fleet.rt.sleep(Duration::from_millis(100)).await;
+            let now = fleet.rt.now();
+            let feeds = fleet.network.feeds.iter();
+            let lost: Vec<_> = feeds.filter(|(_, f)| !f.is_live(now)).collect();
+            assert!(lost.is_empty(), "{lost:?}");
+        }
+    });
+}
+
 /// Guards against the removal of replicas whose records expired only because of an outage of the
 /// platform, on instances that poll others.
 #[test]
@@ -431,7 +474,7 @@
 fn feed_reports_removed_records() {
     virtual_runtime::block_on(1, |rt| async move {
         let feed = Feed::default();
-        feed.set_live(true);
+        feed.set_connected(rt.now());
         feed.replace(Kind::Replicas, &listing(5, &["r1", "r2", "r3"]));
         feed.replace(Kind::Replicas, &listing(9, &["r1", "r3"]));
         let known = |revision| Revisions::from([(Kind::Replicas, Revision(revision))]);
--- a/crates/marigoldloom_front/src/instance.rs
+++ b/crates/marigoldloom_front/src/instance.rs
@@ -163,6 +163,7 @@
     let (candidate, place) = (own.candidate.clone(), settings.place.clone());
     let homes = Homes::new(rt, candidate, place, client.memory());
     let sharing = Arc::new(Sharing {
+        rt,
         engine: engine.clone(),
         client,
         latest: LatestView::default(),
--- a/crates/marigoldloom_front/src/moves.rs
+++ b/crates/marigoldloom_front/src/moves.rs
@@ -58,7 +58,7 @@
     loop {
         let view = latest.get();
         let orders = view.as_ref().map_or(&[][..], |view| &view.moves);
-        let due = moves.tick(orders, feed.is_live());
+        let due = moves.tick(orders, feed.is_live(rt.now()));
         for order in writes.take_due(&rt, &moves, due) {
             let (source, phase) = (source.clone(), order.phase.unwrap_or_default());
             rt.spawn(async move { write(&source, &order, phase).await });
--- a/crates/marigoldloom_front/src/sharing.rs
+++ b/crates/marigoldloom_front/src/sharing.rs
@@ -30,6 +30,7 @@
 /// Applies changes of replicas, instances and allowances, and sets this instance's share of the
 /// limits.
 pub(crate) struct Sharing<R, D, H> {
+    pub(crate) rt: R,
     pub(crate) engine: Engine<R, Client<R, D>, H>,
     pub(crate) client: Client<R, D>,
     pub(crate) latest: LatestView,
@@ -75,7 +76,8 @@
         self.apply_limits(&view);
         // An order must be in force before the first request reaches a replica of its version. The
         // phases that are due are written at the next regular tick.
-        self.moves.tick(&view.moves, self.feed.is_live());
+        let live = self.feed.is_live(self.rt.now());
+        self.moves.tick(&view.moves, live);
         self.engine.apply(Arc::clone(&view.topology));
         self.latest.set(view);
     }
