--- a/crates/marigoldloom_standin/src/users/caller.rs
+++ b/crates/marigoldloom_standin/src/users/caller.rs
@@ -113,6 +113,15 @@
         })
     }
 
+    /// Sends a part of a request, of which [`Connection::send`] sends the rest.
+    ///
+    /// # Errors
+    ///
+    /// The error of the operating system if the connection was closed.
+    pub async fn write(&mut self, part: &[u8]) -> io::Result<()> {
+        self.stream.write_all(part).await
+    }
+
     /// Sends a request and reads its response. A response without `Content-Length` is taken to
     /// have no body.
     ///
