--- a/crates/marigoldloom_standin/src/users/replica.rs
+++ b/crates/marigoldloom_standin/src/users/replica.rs
@@ -10,12 +10,16 @@
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 use futures::{AsyncReadExt, AsyncWriteExt, future};
+use socket2::SockRef;
 
 use super::caller;
 
 /// Size of the read buffer in bytes.
 const CHUNK: usize = 4096;
 
+/// Time from the last byte of a response until the connection is reset.
+const RESET_DELAY: Duration = Duration::from_millis(20);
+
 /// A request as received.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ReceivedRequest {
@@ -73,6 +77,8 @@
     pub bytes: Vec<u8>,
     /// Whether the connection is closed after the bytes are sent.
     pub close: bool,
+    /// Whether the connection is reset shortly after the bytes are sent.
+    pub reset: bool,
     /// Whether the replica crashes instead of sending the bytes.
     pub crash: bool,
     /// When the bytes are sent a second time.
@@ -114,6 +120,20 @@
         }
     }
 
+    /// Omits the length, so that the body ends with the connection.
+    pub fn until_close(self) -> Self {
+        let (head, body) = self.split();
+        let lines = head.split_inclusive("\r\n");
+        let kept: String = lines
+            .filter(|l| !l.starts_with("Content-Length:"))
+            .collect();
+        Self {
+            bytes: [kept.as_bytes(), body].concat(),
+            close: true,
+            ..self
+        }
+    }
+
     /// Sends the body in two chunks instead of with its length.
     pub fn chunked(self) -> Self {
         let (head, body) = self.split();
@@ -272,6 +292,13 @@
             }
         };
         let written = stream.write_all(&bytes).await;
+        if response.reset {
+            // The bytes must be received before the reset.
+            task::sleep(RESET_DELAY).await;
+            // This fails only if the connection has ended.
+            let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+            return;
+        }
         if response.close || written.is_err() {
             return;
         }
