Name the value in the reason of a rejected request

The log said "no route fits" or "the request has no id or no target", so that operators couldn't tell which host, path or limit was meant. Rejections contain the start of the value, at most 120 characters, or the limit, and say which part of a request is missing.

--- a/crates/marigoldloom_front/src/front.rs
+++ b/crates/marigoldloom_front/src/front.rs
@@ -38,7 +38,7 @@
 use crate::listener::Handler;
 use crate::merge;
 use crate::records;
-use crate::rejection::Rejection;
+use crate::rejection::{self, Rejection};
 use crate::responses;
 
 /// Time to deliver an answer to the caller: network delay and scheduling delay.
@@ -145,19 +145,24 @@
         if forwarded.is_some_and(|m| m.version != view.version) {
             return Err(Rejection::OtherVersion);
         }
-        let host = host(&head).ok_or(Rejection::Malformed)?;
-        let target = head.uri.path_and_query().ok_or(Rejection::Malformed)?;
+        let shown = || rejection::start_of(&head.uri);
+        let host = host(&head).ok_or_else(|| Rejection::NoHost { target: shown() })?;
+        let target = head.uri.path_and_query();
+        let target = target.ok_or_else(|| Rejection::NoPath { target: shown() })?;
         let route = view
             .table
             .find(host, target.path())
-            .ok_or(Rejection::NoRoute)?;
+            .ok_or_else(|| Rejection::NoRoute {
+                host: rejection::start_of(host),
+                path: rejection::start_of(target.path()),
+            })?;
         if caller.id.is_none() {
-            return Err(Rejection::Malformed);
+            return Err(Rejection::NoId { target: shown() });
         }
         let limit = view.limits.body;
         let body = body::read(body, limit, &Memory::new(limit)).await;
         let body = body.map_err(|error| match error {
-            body::Error::TooLong { .. } => Rejection::BodyTooLong,
+            body::Error::TooLong { limit } => Rejection::BodyTooLong { limit },
             body::Error::NoMemory { .. } | body::Error::Truncated => Rejection::Truncated,
         })?;
         let (target, route) = (target.clone(), Arc::clone(route));
--- a/crates/marigoldloom_front/src/rejection.rs
+++ b/crates/marigoldloom_front/src/rejection.rs
@@ -3,22 +3,48 @@
 use derive_more::derive;
 use http::StatusCode;
 
+/// Number of characters of a caller's value that are logged.
+const LOGGED_LEN: usize = 120;
+
 /// Why a request is rejected before it reaches the query engine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(derive::Display)]
 pub(crate) enum Rejection {
     /// The instance has no configuration yet.
     #[display("no configuration is known yet")]
     NotReady,
     /// No route matches the host and path.
-    #[display("no route fits")]
-    NoRoute,
-    /// The request has no id, no host or no target that can be forwarded.
-    #[display("the request has no id or no target")]
-    Malformed,
+    #[display("no route fits host {host:?} and path {path:?}")]
+    NoRoute {
+        /// Start of the host.
+        host: String,
+        /// Start of the path.
+        path: String,
+    },
+    /// The request has no host.
+    #[display("the request to {target:?} has no host or an invalid one")]
+    NoHost {
+        /// Start of the target.
+        target: String,
+    },
+    /// The request has no target that can be forwarded.
+    #[display("the target {target:?} has no path")]
+    NoPath {
+        /// Start of the target.
+        target: String,
+    },
+    /// The request has no id.
+    #[display("the request to {target:?} has no id")]
+    NoId {
+        /// Start of the target.
+        target: String,
+    },
     /// The body exceeds the configured limit.
-    #[display("the body is longer than the limit")]
-    BodyTooLong,
+    #[display("the body is longer than {limit} bytes")]
+    BodyTooLong {
+        /// Largest number of bytes.
+        limit: usize,
+    },
     /// The body ended early or could not be read.
     #[display("the body ended early")]
     Truncated,
@@ -29,13 +55,20 @@
 
 impl Rejection {
     /// HTTP status of the response.
-    pub(crate) const fn status(self) -> StatusCode {
+    pub(crate) const fn status(&self) -> StatusCode {
         match self {
             Self::NotReady => StatusCode::SERVICE_UNAVAILABLE,
-            Self::NoRoute => StatusCode::NOT_FOUND,
-            Self::Malformed | Self::Truncated => StatusCode::BAD_REQUEST,
-            Self::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::NoRoute { .. } => StatusCode::NOT_FOUND,
+            Self::NoHost { .. } | Self::NoPath { .. } | Self::NoId { .. } | Self::Truncated => {
+                StatusCode::BAD_REQUEST
+            }
+            Self::BodyTooLong { .. } => StatusCode::PAYLOAD_TOO_LARGE,
             Self::OtherVersion => StatusCode::CONFLICT,
         }
     }
 }
+
+/// Returns the start of `value`, of which log lines contain at most [`LOGGED_LEN`] characters.
+pub(crate) fn start_of(value: impl ToString) -> String {
+    value.to_string().chars().take(LOGGED_LEN).collect()
+}
