Serve the connections in the accept queue when a stop closes it

Callers whose connections waited in the accept queue when a stopping instance closed its listener got a reset, although their requests had been sent. It showed once in a run of all tests, with the instance paused as the time for accepting ended. Cause: the listener was dropped with its queue, and the process, which counted connections only once a task served them, saw none and ended at once.

The listener takes what is in its queue before it closes, counts as open until then, and counts a connection when it is accepted.

--- a/crates/marigoldloom_front/src/listener.rs
+++ b/crates/marigoldloom_front/src/listener.rs
@@ -9,6 +9,7 @@
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 use bytes::Bytes;
+use futures::FutureExt;
 use futures::future::{self, Either};
 use http::header::CONNECTION;
 use http::{HeaderValue, Request, Response};
@@ -55,10 +56,24 @@
 }
 
 impl Stop {
-    /// Number of open connections.
+    /// Number of open connections, and of listeners that may still accept some.
     pub fn connections(&self) -> usize {
         self.open.load(Ordering::Relaxed)
     }
+
+    fn count(&self) -> Counted {
+        self.open.fetch_add(1, Ordering::Relaxed);
+        Counted(Arc::clone(&self.open))
+    }
+}
+
+/// A connection or listener that counts as open until it is dropped.
+struct Counted(Arc<AtomicUsize>);
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 /// Listens on `address` and serves until `stop` is used.
@@ -68,10 +83,16 @@
 /// The error of the operating system if the address can't be bound.
 pub async fn bind(address: SocketAddr, handler: impl Handler, stop: Stop) -> io::Result<()> {
     let listener = TcpListener::bind(address).await?;
+    let listening = stop.count();
     task::spawn(async move {
         let accepting = pin::pin!(accept(&listener, &handler, &stop));
         let stopped = pin::pin!(stop.stopped.cancelled());
         future::select(accepting, stopped).await;
+        // Connections that are left in the accept queue would be reset.
+        while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
+            task::spawn(serve(stream, handler.clone(), stop.clone(), stop.count()));
+        }
+        drop(listening);
     });
     Ok(())
 }
@@ -80,7 +101,7 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                task::spawn(serve(stream, handler.clone(), stop.clone()));
+                task::spawn(serve(stream, handler.clone(), stop.clone(), stop.count()));
             }
             Err(error) => {
                 tracing::warn!(%error, "connection not accepted");
@@ -90,12 +111,11 @@
     }
 }
 
-async fn serve(stream: TcpStream, handler: impl Handler, stop: Stop) {
+async fn serve(stream: TcpStream, handler: impl Handler, stop: Stop, _counted: Counted) {
     if let Err(error) = stream.set_nodelay(true) {
         tracing::debug!(%error, "connection ended before it was served");
         return;
     }
-    stop.open.fetch_add(1, Ordering::Relaxed);
     let limits = handler.limits();
     let answer = service_fn(|request: Request<Incoming>| async {
         let mut response = handler.handle(request).await;
@@ -124,5 +144,4 @@
     if let Err(error) = result {
         tracing::debug!(%error, "a caller's connection ended");
     }
-    stop.open.fetch_sub(1, Ordering::Relaxed);
 }
