--- a/crates/marigoldloom_front/src/instance.rs
+++ b/crates/marigoldloom_front/src/instance.rs
@@ -131,6 +131,7 @@
     dropped: impl Fn() -> DroppedLines + Send + 'static,
 ) -> Result<(), Error> {
     let rt = AsyncStd::new();
+    rt.spawn(rt.watch_suspensions());
     let signals = Signals::new([signal::SIGTERM, signal::SIGINT, signal::SIGHUP]);
     let signals = signals.map_err(Error::Signals)?;
     let metrics = Metrics::new()?;
@@ -170,6 +171,7 @@
     let (candidate, place) = (own.candidate.clone(), settings.place.clone());
     let homes = Homes::new(rt, candidate, place, client.memory());
     let sharing = Arc::new(Sharing {
+        rt,
         engine: engine.clone(),
         client,
         latest: LatestView::default(),
@@ -182,6 +184,7 @@
     let feed = Arc::clone(&sharing.feed);
     follow(rt, source.clone(), own, roster, &settings.place, &sharing);
     let orders = ViewOrders {
+        rt,
         source,
         latest: sharing.latest.clone(),
         feed: Arc::clone(&feed),
--- a/crates/marigoldloom_front/src/moves.rs
+++ b/crates/marigoldloom_front/src/moves.rs
@@ -33,13 +33,14 @@
 
 /// The orders of the view in force.
 #[derive(Clone)]
-pub(crate) struct ViewOrders<S> {
+pub(crate) struct ViewOrders<R, S> {
+    pub(crate) rt: R,
     pub(crate) source: S,
     pub(crate) latest: LatestView,
     pub(crate) feed: Arc<Feed>,
 }
 
-impl<S: Source> phases::Orders for ViewOrders<S> {
+impl<R: Runtime, S: Source> phases::Orders for ViewOrders<R, S> {
     type Error = source::Error;
 
     fn current(&self) -> Vec<Order> {
@@ -48,7 +49,7 @@
     }
 
     fn is_connected(&self) -> bool {
-        self.feed.is_live()
+        self.feed.is_live(self.rt.now())
     }
 
     async fn set_phase(&self, order: &Order, phase: Phase) -> Result<(), source::Error> {
