Let forwarded requests have heads at the limit

Callers got 431 for requests within MaxHeaderBytes if their instance forwarded them: the headers with the version, the due time and the timeout, and spaces that hyper writes after colons, came under the same limit at the home instance. The same held for the largest number of headers, which is hyper's.

The listener for other instances has room for what forwarding adds; the limits of callers stay as they are.

--- a/crates/marigoldloom_front/src/forward.rs
+++ b/crates/marigoldloom_front/src/forward.rs
@@ -18,6 +18,7 @@
 use crate::connection::{self, Connection};
 use crate::headers;
 use crate::homes::ReservedHome;
+use crate::listener::AddedHead;
 
 /// Header with the version of the configuration that routed a forwarded query. An instance with
 /// another version doesn't run the query, and the forwarding instance serves it.
@@ -34,6 +35,13 @@
 /// forwarding instance may serve it.
 const NOT_RUN_HEADER: HeaderName = HeaderName::from_static("x-marigoldloom-not-run");
 
+/// Upper bound on what forwarding adds to the head of a request: the headers with the version, the
+/// due time and the timeout, and a space in each header that came without one.
+pub(crate) const ADDED_HEAD: AddedHead = AddedHead {
+    headers: 3,
+    bytes: 512,
+};
+
 /// Largest number of connections to one other instance.
 const MAX_CONNECTIONS: usize = 16;
 
--- a/crates/marigoldloom_front/src/front.rs
+++ b/crates/marigoldloom_front/src/front.rs
@@ -35,7 +35,7 @@
 use crate::forward::{self, Forwarded};
 use crate::headers;
 use crate::homes::Homes;
-use crate::listener::Handler;
+use crate::listener::{AddedHead, Handler};
 use crate::merge;
 use crate::records;
 use crate::rejection::Rejection;
@@ -454,6 +454,13 @@
             .map_or_else(Limits::default, |v| v.limits)
     }
 
+    fn added_head(&self) -> AddedHead {
+        match self.from_peers {
+            true => forward::ADDED_HEAD,
+            false => AddedHead::default(),
+        }
+    }
+
     async fn handle(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
         if self.from_peers && request.uri().path() == records::PATH {
             let (rt, feed) = (&self.shared.rt, &self.shared.feed);
--- a/crates/marigoldloom_front/src/listener.rs
+++ b/crates/marigoldloom_front/src/listener.rs
@@ -30,11 +30,29 @@
 /// Smallest buffer that hyper accepts for a request's head, in bytes.
 const MIN_BUFFER: usize = 8 * 1024;
 
+/// Largest number of headers of a caller's request; hyper's default.
+const MAX_HEADERS: usize = 100;
+
+/// Part of a request's head that the sender adds to a caller's request and that doesn't count
+/// towards the caller's limits.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct AddedHead {
+    /// Number of headers.
+    pub headers: usize,
+    /// Size in bytes.
+    pub bytes: usize,
+}
+
 /// Handles the requests of a server.
 pub trait Handler: Clone + Send + Sync + 'static {
     /// Limits for a new connection.
     fn limits(&self) -> Limits;
 
+    /// Room for headers that senders add to callers' requests.
+    fn added_head(&self) -> AddedHead {
+        AddedHead::default()
+    }
+
     /// Answers one request. The future is dropped when the caller closes the connection.
     fn handle(
         &self,
@@ -96,7 +114,7 @@
         return;
     }
     stop.open.fetch_add(1, Ordering::Relaxed);
-    let limits = handler.limits();
+    let (limits, added) = (handler.limits(), handler.added_head());
     let answer = service_fn(|request: Request<Incoming>| async {
         let mut response = handler.handle(request).await;
         if stop.closing.is_cancelled() {
@@ -105,13 +123,17 @@
         }
         Ok::<_, convert::Infallible>(response)
     });
-    let connection = http1::Builder::new()
+    let mut builder = http1::Builder::new();
+    builder
         .timer(HyperRuntime(AsyncStd::new()))
         // hyper counts from the end of the previous request, so this also limits idle time.
         .header_read_timeout(limits.idle)
-        .max_buf_size(limits.head.max(MIN_BUFFER))
-        .auto_date_header(false)
-        .serve_connection(FuturesIo::new(stream), answer);
+        .max_buf_size(limits.head.max(MIN_BUFFER) + added.bytes)
+        .auto_date_header(false);
+    if added.headers > 0 {
+        builder.max_headers(MAX_HEADERS + added.headers);
+    }
+    let connection = builder.serve_connection(FuturesIo::new(stream), answer);
     let mut connection = pin::pin!(connection);
     let stopped = pin::pin!(stop.stopped.cancelled());
     let result = match future::select(connection.as_mut(), stopped).await {
