Count attempts after a home instance's refusal in the retry budget

A query that its home instance had sent to upstreams, all of which refused it, was sent again by the forwarding instance.

A refusal now tells whether an attempt may have arrived, the home instance says so in the header that it hasn't run the query, and the forwarding instance's first attempts then need retry budget. Without budget the query is refused at once. A home instance that refuses a query without sending it, such as one that stops, costs none.

--- a/crates/marigoldloom_front/src/forward.rs
+++ b/crates/marigoldloom_front/src/forward.rs
@@ -42,6 +42,9 @@
     bytes: 512,
 };
 
+/// Value of [`NOT_RUN_HEADER`] if upstreams have received the query.
+const ARRIVED: HeaderValue = HeaderValue::from_static("arrived");
+
 /// Largest number of connections to one other instance.
 const MAX_CONNECTIONS: usize = 16;
 
@@ -61,7 +64,10 @@
     /// The home instance answered.
     Answered(Box<Response<Full<Bytes>>>),
     /// The home instance did not run it; this instance serves it.
-    NotRun,
+    NotRun {
+        /// Whether it may have reached upstreams, which refused it.
+        arrived: bool,
+    },
     /// The home instance may have run it, but no answer arrived.
     Lost,
 }
@@ -159,7 +165,17 @@
                 );
             }
             match response.headers_mut().remove(NOT_RUN_HEADER) {
-                Some(_) => Forwarded::NotRun,
+                Some(value) => {
+                    let arrived = value == ARRIVED;
+                    tracing::info!(
+                        request = query.id,
+                        instance = %peer.address,
+                        elapsed_ms = time::millis(elapsed),
+                        arrived,
+                        "query refused by a home instance"
+                    );
+                    Forwarded::NotRun { arrived }
+                }
                 None => Forwarded::Answered(Box::new(response)),
             }
         }
@@ -174,7 +190,7 @@
             peer.health
                 .record_failure(now, sent, query.deadline, &error);
             match error.not_run() {
-                true => Forwarded::NotRun,
+                true => Forwarded::NotRun { arrived: false },
                 false => Forwarded::Lost,
             }
         }
@@ -232,6 +248,13 @@
     headers.insert(NOT_RUN_HEADER, HeaderValue::from_static("1"));
 }
 
+/// Adds to the header of [`set_not_run`], if there is one, that upstreams have received the query.
+pub(crate) fn set_arrived(headers: &mut HeaderMap) {
+    if let Some(value) = headers.get_mut(NOT_RUN_HEADER) {
+        *value = ARRIVED;
+    }
+}
+
 fn parse_number(value: &HeaderValue) -> Option<u64> {
     value.to_str().ok()?.parse().ok()
 }
--- a/crates/marigoldloom_front/src/front.rs
+++ b/crates/marigoldloom_front/src/front.rs
@@ -218,8 +218,8 @@
     /// Answers a request through one replica of `service`.
     async fn answer_single(&self, arrival: &Arrival, service: &Arc<str>) -> Response<Full<Bytes>> {
         let key = view::backend_key(&[Arc::clone(service)], &arrival.route.regions);
-        let (query, guard) = self.query(arrival, key, None);
-        if let Some(response) = self.forward(arrival, &query).await {
+        let (mut query, guard) = self.query(arrival, key, None);
+        if let Some(response) = self.forward(arrival, &mut query).await {
             guard.disarm();
             return response;
         }
@@ -251,8 +251,8 @@
             at: arrival.due,
             min_shards: u32::try_from(scatter.quorum()).unwrap_or(u32::MAX),
         };
-        let (query, guard) = self.query(arrival, key, Some(early_answer));
-        if let Some(response) = self.forward(arrival, &query).await {
+        let (mut query, guard) = self.query(arrival, key, Some(early_answer));
+        if let Some(response) = self.forward(arrival, &mut query).await {
             guard.disarm();
             return response;
         }
@@ -277,7 +277,7 @@
     /// Forwards a query to a home instance of the shards; `None` if this instance must serve it.
     /// Requests that may run only once aren't forwarded, because the connection may have ended
     /// while it was idle.
-    async fn forward(&self, arrival: &Arrival, query: &Query) -> Option<Response<Full<Bytes>>> {
+    async fn forward(&self, arrival: &Arrival, query: &mut Query) -> Option<Response<Full<Bytes>>> {
         if arrival.forwarded || !arrival.route.idempotent || !arrival.body.is_empty() {
             return None;
         }
@@ -294,7 +294,10 @@
         };
         match forward::forward(&self.shared.rt, home, &forwarded).await {
             Forwarded::Answered(response) => Some(*response),
-            Forwarded::NotRun => None,
+            Forwarded::NotRun { arrived } => {
+                query.policy.repeated = arrived;
+                None
+            }
             Forwarded::Lost => {
                 let refusal = Refusal::not_run(Kind::Unavailable);
                 Some(self.refuse(
@@ -329,6 +332,7 @@
                 max_attempts: route.attempts.max(1),
                 early_answer,
                 may_wait: false,
+                repeated: false,
                 error_replies: match route.backend {
                     Backend::Scatter(_) => ErrorReplies::Discard,
                     Backend::Single(_) | Backend::Split(_) => ErrorReplies::Relay,
@@ -412,7 +416,11 @@
             }
             _ => refusal.retry_after.unwrap_or(RETRY_PAUSE).min(RETRY_PAUSE),
         };
-        self.empty_response(status, pause)
+        let mut response = self.empty_response(status, pause);
+        if refusal.arrived {
+            forward::set_arrived(response.headers_mut());
+        }
+        response
     }
 
     /// Adds the time after which the upstreams of `service` take requests if they want none now.
--- a/crates/marigoldloom_query/src/attempt.rs
+++ b/crates/marigoldloom_query/src/attempt.rs
@@ -1,7 +1,7 @@
 //! A single attempt to run a subquery on a replica.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::Duration;
 
 use marigoldloom_routing::{health, topology};
@@ -16,17 +16,35 @@
 
 /// Counts a request's attempts that may have run, including abandoned ones.
 #[derive(Debug, Default)]
-pub(crate) struct RunCounter(AtomicU32);
+pub(crate) struct RunCounter {
+    /// Attempts that may have run.
+    runs: AtomicU32,
+    /// Whether an upstream has refused an attempt.
+    refused: AtomicBool,
+}
 
 impl RunCounter {
     /// Counts an attempt; called before it is sent.
     pub(crate) fn add(&self) {
-        self.0.fetch_add(1, Ordering::Relaxed);
+        self.runs.fetch_add(1, Ordering::Relaxed);
     }
 
     /// Whether at least one attempt may have run.
     pub(crate) fn may_have_run(&self) -> bool {
-        self.0.load(Ordering::Relaxed) > 0
+        self.runs.load(Ordering::Relaxed) > 0
+    }
+
+    /// Whether at least one attempt may have reached an upstream.
+    pub(crate) fn may_have_arrived(&self) -> bool {
+        self.may_have_run() || self.refused.load(Ordering::Relaxed)
+    }
+
+    /// Records the failure of an attempt.
+    fn record_failure(&self, error: &upstream::Error) {
+        if error.not_run() {
+            self.runs.fetch_sub(1, Ordering::Relaxed);
+            self.refused.fetch_or(error.answered(), Ordering::Relaxed);
+        }
     }
 }
 
@@ -129,8 +147,8 @@
         let reply = runtime::timeout_at(&self.core.rt, self.deadline, reply).await;
         let result = reply.unwrap_or(Err(upstream::Error::TimedOut));
         let result = result.and_then(|reply| check_status(reply, error_replies));
-        if result.as_ref().is_err_and(upstream::Error::not_run) {
-            run_counter.0.fetch_sub(1, Ordering::Relaxed);
+        if let Err(error) = &result {
+            run_counter.record_failure(error);
         }
         self.record_result(&subquery, &result);
         result
--- a/crates/marigoldloom_query/src/engine.rs
+++ b/crates/marigoldloom_query/src/engine.rs
@@ -452,7 +452,7 @@
     }
 
     fn unavailable(&self, reason: Reason) -> Refusal {
-        let refusal = Refusal::not_run(Kind::Unavailable);
+        let refusal = self.refusal(Kind::Unavailable);
         refusal
             .with_reason(reason, self.run_status())
             .with_retry_after(RETRY_AFTER)
--- a/crates/marigoldloom_query/src/gather.rs
+++ b/crates/marigoldloom_query/src/gather.rs
@@ -277,6 +277,7 @@
     pub(crate) fn refusal(&self, kind: Kind) -> Refusal {
         Refusal {
             run: self.run_status(),
+            arrived: self.run_counter.may_have_arrived(),
             ..Refusal::not_run(kind)
         }
     }
--- a/crates/marigoldloom_query/src/refusal.rs
+++ b/crates/marigoldloom_query/src/refusal.rs
@@ -86,6 +86,9 @@
     pub run: RunStatus,
     /// Time after which a retry by the caller may succeed; `None` if unknown.
     pub retry_after: Option<Duration>,
+    /// Whether an attempt may have reached an upstream, so that another one is extra load. Not part
+    /// of the JSON body.
+    pub arrived: bool,
 }
 
 impl Refusal {
@@ -96,6 +99,7 @@
             reason: None,
             run: RunStatus::NotRun,
             retry_after: None,
+            arrived: false,
         }
     }
 
@@ -153,6 +157,7 @@
             reason: wire.error.reason,
             run: wire.error.run,
             retry_after: wire.error.retry_after_ms.map(Duration::from_millis),
+            arrived: false,
         }
     }
 }
--- a/crates/marigoldloom_query/src/request.rs
+++ b/crates/marigoldloom_query/src/request.rs
@@ -39,6 +39,9 @@
     pub may_wait: bool,
     /// What becomes of an upstream's response whose status isn't a success.
     pub error_replies: ErrorReplies,
+    /// Whether the request has reached upstreams through another instance. Its first attempts then
+    /// need retry budget, and earn none.
+    pub repeated: bool,
 }
 
 impl Default for Policy {
@@ -48,6 +51,7 @@
             early_answer: None,
             may_wait: true,
             error_replies: ErrorReplies::default(),
+            repeated: false,
         }
     }
 }
--- a/crates/marigoldloom_query/src/shard.rs
+++ b/crates/marigoldloom_query/src/shard.rs
@@ -274,10 +274,11 @@
         history: &mut AttemptHistory,
     ) -> Result<attempt::Reservation<R, U, H>, Reason> {
         // An attempt that was never sent caused no load, so the next one needs no retry budget.
-        let mut budgeted = matches!(
-            (history.count, history.last_failure),
-            (0, _) | (_, Some(Reason::Unreachable | Reason::Unwilling))
-        );
+        let mut budgeted = match (history.count, history.last_failure) {
+            (0, _) => !self.request.policy.repeated,
+            (_, Some(Reason::Unreachable | Reason::Unwilling)) => true,
+            _ => false,
+        };
         self.back_off(shard, history).await?;
         loop {
             let mut wait_reason = Reason::Overloaded;
@@ -295,10 +296,8 @@
                 Selection::Selected(replica) => {
                     let now = self.core.rt.now();
                     budgeted = budgeted || self.shard_service(shard).budget.take_retries(now, 1);
-                    if let (false, false, Some(reason)) =
-                        (budgeted, self.request.policy.may_wait, history.last_failure)
-                    {
-                        return Err(reason);
+                    if !budgeted && !self.request.policy.may_wait {
+                        return Err(history.last_failure.unwrap_or(Reason::Overloaded));
                     }
                     match budgeted
                         .then(|| self.try_reserve(shard, replica, history))
@@ -340,8 +339,8 @@
         if purpose == Purpose::First {
             self.shards_queried.fetch_add(1, Ordering::Relaxed);
         }
-        // Running the query again on a newer snapshot is extra load, so it earns no budget.
-        if purpose == Purpose::First && self.first_run {
+        // A repeated query, also one on a newer snapshot, is extra load, so it earns no budget.
+        if purpose == Purpose::First && self.first_run && !self.request.policy.repeated {
             self.shard_service(shard).budget.add_first_attempts(1);
         }
         history.count += 1;
