Play late copies, notices of replicas, cold returns and odd entries in the soak

New checks: requests after an answer with Server-Leaving, in a pause, and at a cold replica; planted faults for each, and for the split route, in tests/checks.rs.

--- a/crates/marigoldloom_soak/src/callers.rs
+++ b/crates/marigoldloom_soak/src/callers.rs
@@ -87,16 +87,19 @@
 
     /// Sends the same request, which crashes the replicas that run it, `count` times to instances in
     /// turn.
-    pub(crate) async fn crash_replicas(&self, query: bool, count: u32, gap: Duration) {
-        let path: Arc<str> = Arc::from(format!("{}{query}", &CRASH_MARK[1..]));
+    pub(crate) async fn crash_replicas(
+        &self,
+        kind: RequestKind,
+        name: &str,
+        count: u32,
+        gap: Duration,
+    ) {
+        let path: Arc<str> = Arc::from(format!("{}{name}", &CRASH_MARK[1..]));
         for number in 0..count {
             let draft = Draft {
-                id: Arc::from(format!("c{query}{number:04}")),
+                id: Arc::from(format!("c{name}{number:04}")),
                 path: Arc::clone(&path),
-                kind: match query {
-                    true => RequestKind::Query,
-                    false => RequestKind::Fetch,
-                },
+                kind,
                 cancel_after: None,
                 reuse: false,
                 choice: usize::try_from(number).unwrap_or(0),
@@ -106,6 +109,23 @@
         }
     }
 
+    /// Sends `count` requests whose ids begin with `prefix` to instances in turn.
+    pub(crate) async fn burst(&self, kind: RequestKind, prefix: &str, count: u32, gap: Duration) {
+        for number in 0..count {
+            let id: Arc<str> = Arc::from(format!("{prefix}{number:04}"));
+            let draft = Draft {
+                path: Arc::clone(&id),
+                id,
+                kind,
+                cancel_after: None,
+                reuse: true,
+                choice: usize::try_from(number).unwrap_or(0),
+            };
+            task::spawn(self.clone().send(draft));
+            task::sleep(gap).await;
+        }
+    }
+
     fn take_idle(&self) -> Option<IdleConnection> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         idle.pop_front()
--- a/crates/marigoldloom_soak/src/checks.rs
+++ b/crates/marigoldloom_soak/src/checks.rs
@@ -7,6 +7,7 @@
 use answers::check_answers;
 use configurations::{check_configurations, check_drains};
 use marigoldloom_standin::users::caller::Response;
+use notices::{check_cold, check_leaving, check_pauses};
 use versions::{check_crashing, check_versions};
 
 use crate::guarantees::{Guarantee, Violation};
@@ -15,6 +16,7 @@
 
 mod answers;
 mod configurations;
+mod notices;
 mod versions;
 
 /// Time without a disruption after which an instance is held to its time limits: by then it has a
@@ -57,6 +59,9 @@
         check_left_callers,
         check_versions,
         check_crashing,
+        check_leaving,
+        check_pauses,
+        check_cold,
         check_maintenance,
         check_recovery,
         check_exits,
--- a/crates/marigoldloom_soak/src/checks/configurations.rs
+++ b/crates/marigoldloom_soak/src/checks/configurations.rs
@@ -47,7 +47,7 @@
             let total = parts.len() + response.missing().unwrap_or(0);
             !matching_configurations(std::slice::from_ref(*c), &services, total).is_empty()
         }
-        RequestKind::Fetch | RequestKind::Job => true,
+        RequestKind::Fetch | RequestKind::Job | RequestKind::Split => true,
     };
     known.filter(fits).map(|c| c.number).collect()
 }
--- a/crates/marigoldloom_soak/src/deployment.rs
+++ b/crates/marigoldloom_soak/src/deployment.rs
@@ -8,10 +8,10 @@
 use async_std::net::TcpListener;
 use marigoldloom_http::server::Server;
 use marigoldloom_standin::users::documents::{
-    self, Backend, CONFIGURATION, CONFIGURATION_NAME, Node, Route,
+    self, Backend, CONFIGURATION, CONFIGURATION_NAME, EVACUATIONS, Node, Route,
 };
 use marigoldloom_standin::users::store::Store;
-use serde_json::Value;
+use serde_json::{Value, json};
 
 use crate::history::{Configuration, History, RequestKind};
 use crate::plan::{Link, Sizes};
@@ -50,6 +50,9 @@
 /// Maximum number of connections to a replica that the configuration allows.
 const MAX_CONNECTIONS: u32 = 32;
 
+/// Requests per second that a cold replica tolerates.
+pub const COLD_RATE: f64 = 4.0;
+
 /// Path prefix of the route for requests of `kind`.
 pub const fn path_prefix(kind: RequestKind) -> &'static str {
     match kind {
@@ -57,6 +60,7 @@
         RequestKind::Fetch => "/fetch/",
         RequestKind::Job => "/job/",
         RequestKind::Version => "/version/",
+        RequestKind::Split => "/split/",
     }
 }
 
@@ -79,6 +83,7 @@
         RequestKind::Fetch => service == FETCH_SERVICE,
         RequestKind::Job => service == JOB_SERVICE,
         RequestKind::Version => service.starts_with("version"),
+        RequestKind::Split => [FETCH_SERVICE, JOB_SERVICE].contains(&service),
     }
 }
 
@@ -115,6 +120,8 @@
     pub members: Vec<Member>,
     /// Number and shard set of the latest configuration.
     latest: Mutex<(u64, usize)>,
+    /// Number of evacuations in progress for each failure domain.
+    evacuations: Mutex<[usize; DOMAINS.len()]>,
     _server: Server,
 }
 
@@ -141,6 +148,7 @@
             replicas,
             members,
             latest: Mutex::new((0, 0)),
+            evacuations: Mutex::default(),
             _server: server,
         };
         deployment.configure(false);
@@ -168,6 +176,27 @@
             });
     }
 
+    /// Evacuates a failure domain until [`Self::return_domain`] is called as often.
+    pub fn evacuate_domain(&self, domain: usize) {
+        let mut evacuations = self.lock_evacuations();
+        evacuations[domain] += 1;
+        self.store.put(EVACUATIONS, DOMAINS[domain], json!({}));
+    }
+
+    /// Ends an evacuation of a failure domain.
+    pub fn return_domain(&self, domain: usize) {
+        let mut evacuations = self.lock_evacuations();
+        evacuations[domain] -= 1;
+        if evacuations[domain] == 0 {
+            self.store.remove(EVACUATIONS, DOMAINS[domain]);
+        }
+    }
+
+    fn lock_evacuations(&self) -> MutexGuard<'_, [usize; DOMAINS.len()]> {
+        let evacuations = self.evacuations.lock();
+        evacuations.unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Kills all instances and prevents restarts.
     pub fn close(&self) {
         for member in &self.members {
@@ -258,6 +287,7 @@
         min_ratio: MIN_SHARD_SHARE,
     };
     let single = |service: String| Backend::Single(service);
+    let split = Backend::Split([FETCH_SERVICE, JOB_SERVICE].map(str::to_owned).into());
     let routes = [
         route(RequestKind::Query, query, 1_000, 300),
         route(
@@ -273,13 +303,18 @@
             1_000,
             300,
         ),
+        route(RequestKind::Split, split, 2_000, 500),
     ];
     let versions = (0..VERSION_SERVICES).map(version_service);
     let services = (0..SHARD_SETS.len()).flat_map(shards).chain(versions);
     let services: Vec<_> = services
         .chain([FETCH_SERVICE, JOB_SERVICE].map(str::to_owned))
         .collect();
-    documents::configuration(number, &routes, &services, MAX_CONNECTIONS)
+    let mut document = documents::configuration(number, &routes, &services, MAX_CONNECTIONS);
+    for service in document["Services"].as_array_mut().into_iter().flatten() {
+        service["ColdPerS"] = json!(COLD_RATE);
+    }
+    document
 }
 
 /// Path of the directory for the files of a run, below the system's directory for temporary files.
--- a/crates/marigoldloom_soak/src/guarantees.rs
+++ b/crates/marigoldloom_soak/src/guarantees.rs
@@ -41,6 +41,12 @@
     /// Draining replicas and evacuated failure domains get no new requests.
     #[display("replicas that leave and evacuated domains get nothing new")]
     Closed,
+    /// A replica that refuses requests for a stated time gets few from that instance meanwhile.
+    #[display("replicas that ask for a pause get it")]
+    Pause,
+    /// A cold replica gets requests at a limited rate, summed over all instances.
+    #[display("cold replicas get few requests")]
+    Cold,
     /// Attempts of a request at a service beyond the first one stay within the service's retry
     /// budget, summed over all instances.
     #[display("extra attempts stay in their budget")]
--- a/crates/marigoldloom_soak/src/history.rs
+++ b/crates/marigoldloom_soak/src/history.rs
@@ -17,6 +17,8 @@
     Job,
     /// Is answered by the service that identifies the configuration in force.
     Version,
+    /// Is answered by one replica of one of several services. Idempotent.
+    Split,
 }
 
 /// How a request ended for its caller.
@@ -79,6 +81,30 @@
     pub timeout: Option<Duration>,
 }
 
+/// A refusal with status 503 by a replica.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// Id of the request.
+    pub id: Arc<str>,
+    /// Index of the replica.
+    pub replica: usize,
+    /// When the request arrived.
+    pub at: Duration,
+    /// Time for which the replica wants no requests of the sender, if it states one.
+    pub pause: Option<Duration>,
+}
+
+/// A period in which a replica is cold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ColdPeriod {
+    /// Index of the replica.
+    pub replica: usize,
+    /// When it was written to the store.
+    pub from: Duration,
+    /// When it ends.
+    pub until: Duration,
+}
+
 /// A configuration that the operator wrote to the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Configuration {
@@ -156,6 +182,12 @@
     pub requests: BTreeMap<Arc<str>, Request>,
     /// Executions in the order in which they started.
     pub executions: Vec<Execution>,
+    /// Refusals by replicas in the order in which they were sent.
+    pub refusals: Vec<Refusal>,
+    /// Replicas that say in all their responses that they leave, and since when.
+    pub leaving: BTreeMap<usize, Duration>,
+    /// Periods in which replicas are cold.
+    pub cold_periods: Vec<ColdPeriod>,
     /// Configurations in the order in which they were written.
     pub configurations: Vec<Configuration>,
     /// Drains of replicas and failure domains.
--- a/crates/marigoldloom_soak/src/plan.rs
+++ b/crates/marigoldloom_soak/src/plan.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use marigoldloom_standin::users::server::Behaviour;
+use marigoldloom_standin::users::replica::Copy as SecondCopy;
+use marigoldloom_standin::users::server::{Behaviour, Echo};
 use rand::rngs::StdRng;
 use rand::{Rng, RngExt, SeedableRng};
 use serde::Serialize;
@@ -44,6 +45,18 @@
 /// Distinguishes the generator of moves and crashing requests from that of the other steps.
 const INCIDENT_SEED: u64 = 0x5eed_cafe;
 
+/// Distinguishes the generator of what replicas say and of odd store entries from the others.
+const NOTICE_SEED: u64 = 0x0ddb_a11d;
+
+/// Probability that a plan contains a step of [`draw_notices`] other than the first one.
+const NOTICE_PROBABILITY: f64 = 0.6;
+
+/// Milliseconds before the end of an evacuation at which the replicas become cold.
+const CHILL_LEAD_MS: u64 = 500;
+
+/// Number of bytes of an odd store entry.
+const ODD_BYTES: std::ops::Range<usize> = 8..60;
+
 /// What a plan is drawn for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Sizes {
@@ -121,6 +134,23 @@
     }
 }
 
+/// Kind of a store entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum EntryKind {
+    /// A replica's announcement.
+    Replica,
+    /// An evacuation.
+    Evacuation,
+    /// An order to move a service to a version.
+    Rollout,
+}
+
+impl EntryKind {
+    const ALL: [Self; 3] = [Self::Replica, Self::Evacuation, Self::Rollout];
+}
+
 /// A fault or a planned operation. Instances, replicas and failure domains are given by index.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize)]
@@ -210,6 +240,71 @@
         /// Milliseconds between two of them.
         gap_ms: u64,
     },
+    /// Replicas send some responses a second time, late.
+    Stutter {
+        /// The replicas.
+        replicas: Vec<usize>,
+        /// When the second copy is sent.
+        copy: SecondCopy,
+        /// Responses in which they echo the id of the attempt.
+        echo: Echo,
+        /// Duration in milliseconds.
+        time_ms: u64,
+    },
+    /// A replica leaves while it is slow and requests wait for it.
+    LeaveLoaded {
+        /// Whether it is one of the job service instead of the fetch service.
+        job: bool,
+        /// Whether it is slow.
+        slow: bool,
+        /// Milliseconds from its first response that tells so until its entry does.
+        entry_ms: u64,
+        /// Number of requests that are sent in addition.
+        requests: u32,
+        /// Milliseconds between two of them.
+        gap_ms: u64,
+    },
+    /// Replicas refuse requests and want none for a time.
+    Decline {
+        /// Whether they are those of the job service instead of the fetch service.
+        job: bool,
+        /// Number of replicas.
+        replicas: usize,
+        /// The time that they state, in seconds.
+        pause_s: u64,
+        /// Number of requests that are sent in addition.
+        requests: u32,
+        /// Milliseconds between two of them.
+        gap_ms: u64,
+        /// Duration in milliseconds.
+        time_ms: u64,
+    },
+    /// The replicas of a failure domain become cold.
+    Chill {
+        /// The failure domain.
+        domain: usize,
+        /// Duration in milliseconds.
+        time_ms: u64,
+    },
+    /// A caller sends a request of a weighted split that crashes the replicas that run it, again
+    /// and again.
+    CrashSplit {
+        /// Number of times that it is sent.
+        count: u32,
+        /// Milliseconds between two of them.
+        gap_ms: u64,
+    },
+    /// The store has an entry with a string of random bytes.
+    OddEntry {
+        /// Kind of the entry.
+        kind: EntryKind,
+        /// Whether the string is one field of the entry instead of all of it.
+        field: bool,
+        /// The bytes. They can stand in a JSON string, but needn't be UTF-8.
+        bytes: Vec<u8>,
+        /// Duration in milliseconds.
+        time_ms: u64,
+    },
     /// New configurations are written to the store.
     Configure {
         /// Number of configurations.
@@ -254,8 +349,11 @@
     });
     let mut fault_steps: Vec<_> = fault_steps.collect();
     fault_steps.extend(draw_incidents(seed, last));
+    fault_steps.extend(draw_notices(seed, last, sizes));
     fault_steps.sort_by_key(|s| s.at_ms);
-    let maintenance_steps = draw_maintenance(&mut rng, sizes);
+    let mut maintenance_steps = draw_maintenance(&mut rng, sizes);
+    maintenance_steps.extend(draw_cold_return(seed, &maintenance_steps));
+    maintenance_steps.sort_by_key(|s| s.at_ms);
     Plan {
         fault_steps,
         maintenance_steps,
@@ -283,6 +381,104 @@
     [timed(moved), timed(crash)].into_iter()
 }
 
+/// Draws what replicas say in their responses, cold returns and odd store entries, with a generator
+/// of their own, so that the other steps of a seed stay the same.
+fn draw_notices(seed: u64, last: u64, sizes: &Sizes) -> impl Iterator<Item = TimedStep> {
+    let mut rng = StdRng::seed_from_u64(seed ^ NOTICE_SEED);
+    let stutter = TimedStep {
+        at_ms: rng.random_range(0..last / 2),
+        step: draw_stutter(&mut rng, sizes),
+    };
+    let domain = rng.random_range(0..sizes.domains);
+    let (at_ms, time_ms) = (rng.random_range(0..last / 2), last / 2);
+    let cold_return = [
+        TimedStep {
+            at_ms,
+            step: Step::Evacuate { domain, time_ms },
+        },
+        draw_chill(&mut rng, domain, at_ms + time_ms),
+    ];
+    let others = [
+        draw_leave(&mut rng),
+        draw_decline(&mut rng),
+        Step::CrashSplit {
+            count: rng.random_range(12..20),
+            gap_ms: rng.random_range(300..900),
+        },
+        draw_odd_entry(&mut rng),
+    ];
+    let timed = others.map(|step| {
+        let drawn = rng.random_bool(NOTICE_PROBABILITY);
+        let at_ms = rng.random_range(0..last / 2);
+        drawn.then_some(TimedStep { at_ms, step })
+    });
+    let cold_return = rng.random_bool(NOTICE_PROBABILITY).then_some(cold_return);
+    [stutter]
+        .into_iter()
+        .chain(timed.into_iter().flatten())
+        .chain(cold_return.into_iter().flatten())
+}
+
+/// The replicas of a domain whose evacuation ends at `end` become cold shortly before.
+fn draw_chill(rng: &mut impl Rng, domain: usize, end: u64) -> TimedStep {
+    TimedStep {
+        at_ms: end.saturating_sub(CHILL_LEAD_MS),
+        step: Step::Chill {
+            domain,
+            time_ms: rng.random_range(3_000..6_000),
+        },
+    }
+}
+
+fn draw_stutter(rng: &mut impl Rng, sizes: &Sizes) -> Step {
+    const COPIES: [SecondCopy; 4] = [
+        SecondCopy::Late,
+        SecondCopy::AtNextRequest,
+        SecondCopy::Split,
+        SecondCopy::Anonymous,
+    ];
+    const ECHOES: [Echo; 4] = [Echo::All, Echo::Refusals, Echo::Answers, Echo::None];
+    Step::Stutter {
+        replicas: draw_subset(rng, sizes.replicas, REPLICA_PROBABILITIES),
+        copy: COPIES[rng.random_range(0..COPIES.len())],
+        echo: ECHOES[rng.random_range(0..ECHOES.len())],
+        time_ms: rng.random_range(2_000..8_000),
+    }
+}
+
+fn draw_leave(rng: &mut impl Rng) -> Step {
+    Step::LeaveLoaded {
+        job: rng.random(),
+        slow: rng.random(),
+        entry_ms: rng.random_range(0..6_000),
+        requests: rng.random_range(60..180),
+        gap_ms: rng.random_range(2..60),
+    }
+}
+
+fn draw_decline(rng: &mut impl Rng) -> Step {
+    Step::Decline {
+        job: rng.random(),
+        replicas: rng.random_range(1..4),
+        pause_s: rng.random_range(1..5),
+        requests: rng.random_range(60..180),
+        gap_ms: rng.random_range(10..40),
+        time_ms: rng.random_range(1_000..5_000),
+    }
+}
+
+fn draw_odd_entry(rng: &mut impl Rng) -> Step {
+    let count = rng.random_range(ODD_BYTES);
+    let bytes = (0..count).map(|_| rng.random_range(b' '..=u8::MAX));
+    let bytes = bytes.filter(|b| !matches!(b, b'"' | b'\\')).collect();
+    Step::OddEntry {
+        kind: EntryKind::ALL[rng.random_range(0..EntryKind::ALL.len())],
+        field: rng.random(),
+        bytes,
+        time_ms: draw_time_ms(rng),
+    }
+}
+
 fn draw_time_ms(rng: &mut impl Rng) -> u64 {
     rng.random_range(FAULT_TIME_MS)
 }
@@ -379,6 +575,17 @@
     chosen.collect()
 }
 
+/// Draws for each evacuation among `steps` that its replicas become cold before it ends.
+fn draw_cold_return(seed: u64, steps: &[TimedStep]) -> Vec<TimedStep> {
+    let mut rng = StdRng::seed_from_u64(seed ^ NOTICE_SEED);
+    let evacuations = steps.iter().filter_map(|timed| match timed.step {
+        Step::Evacuate { domain, time_ms } => Some((domain, timed.at_ms + time_ms)),
+        _ => None,
+    });
+    let chills = evacuations.map(|(domain, end)| draw_chill(&mut rng, domain, end));
+    chills.collect()
+}
+
 /// Draws planned operations that must not affect callers. Those that instances must apply within
 /// a time limit come first, in random order: a stop is a disruption, and the checks don't hold a
 /// disrupted instance to its time limits.
--- a/crates/marigoldloom_soak/src/replicas.rs
+++ b/crates/marigoldloom_soak/src/replicas.rs
@@ -9,14 +9,14 @@
 
 use async_std::task;
 use marigoldloom_standin::users::documents::{self, REPLICAS, ROLLOUTS, VERSION};
-use marigoldloom_standin::users::replica::{ReceivedRequest, Replica, ScriptedResponse};
-use marigoldloom_standin::users::server::{self, Behaviour, Identity};
+use marigoldloom_standin::users::replica::{Copy, ReceivedRequest, Replica, ScriptedResponse};
+use marigoldloom_standin::users::server::{self, Behaviour, Echo, Identity, RunStatus};
 use marigoldloom_standin::users::store::Store;
 
 use crate::deployment::{
     DOMAINS, FETCH_SERVICE, JOB_SERVICE, SHARD_SETS, VERSION_SERVICES, shards, version_service,
 };
-use crate::history::{DrainTarget, Execution, History, Scope};
+use crate::history::{ColdPeriod, DrainTarget, Execution, History, Refusal, Scope};
 use crate::plan::VersionFault;
 use crate::proxy::Proxy;
 
@@ -45,6 +45,9 @@
 /// Time from such a crash to the restart.
 const CRASH_TIME: Duration = Duration::from_millis(1_500);
 
+/// A stuttering replica repeats one of so many responses.
+const STUTTER_PERIOD: u64 = 3;
+
 /// Version to which services are moved.
 const NEW_VERSION: &str = "v2";
 
@@ -68,7 +71,27 @@
     /// Version of its software.
     version: String,
     state: Mutex<State>,
-    behaviour: Arc<Mutex<Behaviour>>,
+    manner: Arc<Mutex<Manner>>,
+}
+
+/// How a replica responds at present.
+#[derive(Clone, Copy, Debug, Default)]
+struct Manner {
+    behaviour: Behaviour,
+    stutter: Option<Stutter>,
+    /// Whether it says that it leaves.
+    leaving: bool,
+    /// Time for which it wants no requests, stated in refusals. It refuses all requests if it is set.
+    pause: Option<Duration>,
+    /// When it stops being cold.
+    cold_until: Option<Duration>,
+}
+
+/// How a replica repeats some of its responses.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Stutter {
+    pub(crate) copy: Copy,
+    pub(crate) echo: Echo,
 }
 
 struct State {
@@ -95,11 +118,12 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn lock_manner(&self) -> std::sync::MutexGuard<'_, Manner> {
+        self.manner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn set_behaviour(&self, behaviour: Behaviour) {
-        *self
-            .behaviour
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner) = behaviour;
+        self.lock_manner().behaviour = behaviour;
     }
 }
 
@@ -182,7 +206,7 @@
                 start_count: 0,
                 leaving: false,
             }),
-            behaviour: Arc::default(),
+            manner: Arc::default(),
         });
         self.lock_endpoints().push(Arc::clone(&endpoint));
         self.history.observations().domains.push(domain);
@@ -199,11 +223,14 @@
             state.identity.clone()
         };
         let (history, number) = (self.history.clone(), endpoint.number);
-        let (replica_identity, behaviour) = (identity.clone(), Arc::clone(&endpoint.behaviour));
+        let (replica_identity, manner) = (identity.clone(), Arc::clone(&endpoint.manner));
         let replicas = self.clone();
         let respond = move |request: &ReceivedRequest| {
-            let behaviour = *behaviour.lock().unwrap_or_else(PoisonError::into_inner);
-            let behaviour = match behaviour {
+            // Read before the manner, which may change meanwhile.
+            let at = history.now();
+            let manner = *manner.lock().unwrap_or_else(PoisonError::into_inner);
+            let behaviour = match manner.behaviour {
+                _ if manner.pause.is_some() => Behaviour::Shedding,
                 Behaviour::FailingUnderLoad if !replicas.is_loaded(&replica_identity.service) => {
                     Behaviour::Sound
                 }
@@ -211,8 +238,15 @@
             };
             let (run_status, response) =
                 server::respond(&replica_identity, behaviour, work_time(request), request);
-            if run_status == server::RunStatus::Run {
-                let at = history.now();
+            if is_refusal(run_status, &response) {
+                history.observations().refusals.push(Refusal {
+                    id: Arc::from(request.id().unwrap_or_default()),
+                    replica: number,
+                    at,
+                    pause: manner.pause,
+                });
+            }
+            if run_status == RunStatus::Run {
                 history.observations().executions.push(execution(
                     &replica_identity,
                     number,
@@ -221,11 +255,11 @@
                 ));
             }
             match run_status {
-                server::RunStatus::Run if crashes(request) => {
+                RunStatus::Run if crashes(request) => {
                     replicas.spawn_crash(number);
                     ScriptedResponse::crash()
                 }
-                _ => response,
+                _ => manner.apply(at, run_status, request, response),
             }
         };
         let replica = Replica::start(respond).await?;
@@ -251,7 +285,9 @@
     fn announcement(&self, endpoint: &Endpoint, identity: &Identity) -> serde_json::Value {
         let (domain, address) = (DOMAINS[endpoint.domain], endpoint.proxy.address());
         let announcement = documents::announcement(&identity.service, domain, address, SLOTS);
-        documents::with_version(announcement, &endpoint.version)
+        let announcement = documents::with_version(announcement, &endpoint.version);
+        let left = endpoint.lock_manner().cold_left(self.history.now());
+        documents::with_warmup(announcement, left)
     }
 
     /// Ends the process behind an endpoint. Returns its id, or `None` if no process ran.
@@ -365,9 +401,104 @@
         self.history.end_disruption(disruption);
     }
 
+    /// Makes a replica send some responses twice for `time`.
+    pub(crate) async fn stutter(&self, number: usize, stutter: Stutter, time: Duration) {
+        let endpoint = self.get(number);
+        endpoint.lock_manner().stutter = Some(stutter);
+        task::sleep(time).await;
+        endpoint.lock_manner().stutter = None;
+    }
+
+    /// Replicas of `service` that run and don't leave.
+    fn of_service(&self, service: &str) -> Vec<Arc<Endpoint>> {
+        let endpoints = self.lock_endpoints();
+        let present = endpoints.iter().filter(|e| {
+            let state = e.lock_state();
+            state.identity.service == service && state.replica.is_some() && !state.leaving
+        });
+        present.cloned().collect()
+    }
+
+    /// Makes up to `count` replicas of `service` refuse all requests for `time`, and ask for none for
+    /// `pause`.
+    pub(crate) async fn decline(
+        &self,
+        service: &str,
+        count: usize,
+        pause: Duration,
+        time: Duration,
+    ) {
+        let mut endpoints = self.of_service(service);
+        endpoints.truncate(count);
+        for endpoint in &endpoints {
+            endpoint.lock_manner().pause = Some(pause);
+        }
+        task::sleep(time).await;
+        for endpoint in &endpoints {
+            endpoint.lock_manner().pause = None;
+        }
+    }
+
+    /// Makes the replicas of a failure domain cold for `time`.
+    pub(crate) async fn chill(&self, domain: usize, time: Duration) {
+        let endpoints: Vec<_> = self.lock_endpoints().clone();
+        let endpoints = endpoints.into_iter().filter(|e| {
+            let state = e.lock_state();
+            e.domain == domain && state.replica.is_some() && !state.leaving
+        });
+        let endpoints: Vec<_> = endpoints.collect();
+        for endpoint in &endpoints {
+            let until = self.history.now() + time;
+            endpoint.lock_manner().cold_until = Some(until);
+            self.announce(endpoint);
+            let from = self.history.now();
+            self.history.observations().cold_periods.push(ColdPeriod {
+                replica: endpoint.number,
+                from,
+                until,
+            });
+        }
+        task::sleep(time).await;
+        for endpoint in &endpoints {
+            endpoint.lock_manner().cold_until = None;
+            self.announce(endpoint);
+        }
+    }
+
+    /// Writes the announcement of a replica that runs and doesn't leave.
+    fn announce(&self, endpoint: &Endpoint) {
+        let state = endpoint.lock_state();
+        if state.replica.is_some() && !state.leaving {
+            let announcement = self.announcement(endpoint, &state.identity);
+            self.store.put(REPLICAS, &state.identity.id, announcement);
+        }
+    }
+
+    /// Replaces a replica of `service`, whose entry tells that it leaves `entry_delay` after its
+    /// responses do.
+    pub(crate) async fn leave(
+        &self,
+        service: &str,
+        slow: bool,
+        entry_delay: Duration,
+    ) -> io::Result<()> {
+        let Some(endpoint) = self.of_service(service).into_iter().next() else {
+            return Ok(());
+        };
+        if slow {
+            endpoint.set_behaviour(Behaviour::Slow);
+        }
+        self.replace_slowly(endpoint.number, entry_delay).await
+    }
+
     /// Replaces a replica: starts another one of the same service, drains and stops the old one,
     /// and then starts a replica of the fetch service at the old address.
     pub(crate) async fn replace(&self, number: usize) -> io::Result<()> {
+        self.replace_slowly(number, Duration::ZERO).await
+    }
+
+    /// Like [`Self::replace`], with a pause between the responses that tell it and the entry.
+    async fn replace_slowly(&self, number: usize, entry_delay: Duration) -> io::Result<()> {
         let endpoint = self.get(number);
         let identity = {
             let mut state = endpoint.lock_state();
@@ -385,6 +516,10 @@
             None,
         )
         .await?;
+        endpoint.lock_manner().leaving = true;
+        let since = self.history.now();
+        self.history.observations().leaving.insert(number, since);
+        task::sleep(entry_delay).await;
         let draining = documents::draining(self.announcement(&endpoint, &identity));
         self.store.put(REPLICAS, &identity.id, draining);
         self.history.begin_drain(DrainTarget::Replica(number));
@@ -405,6 +540,54 @@
     }
 }
 
+impl Manner {
+    /// How much longer the replica is cold.
+    fn cold_left(&self, now: Duration) -> Duration {
+        self.cold_until.unwrap_or_default().saturating_sub(now)
+    }
+
+    /// Changes the response to a request that arrived `at` this time.
+    fn apply(
+        &self,
+        at: Duration,
+        status: RunStatus,
+        request: &ReceivedRequest,
+        response: ScriptedResponse,
+    ) -> ScriptedResponse {
+        let mut lines = String::new();
+        if self.leaving {
+            lines.push_str("Server-Leaving: 1\r\n");
+        }
+        if let Some(pause) = self.pause.filter(|_| is_refusal(status, &response)) {
+            lines.push_str(&format!("Retry-After: {}\r\n", pause.as_secs()));
+        }
+        if is_probe(request) {
+            let left = self.cold_left(at).as_millis();
+            lines.push_str(&format!("Warmup-Ms: {left}\r\n"));
+        }
+        let response = response.with_headers(&lines);
+        match self.stutter {
+            Some(stutter) => ScriptedResponse {
+                copy: match byte_sum(request) % STUTTER_PERIOD {
+                    0 => stutter.copy,
+                    _ => Copy::Never,
+                },
+                ..stutter.echo.apply(status, response)
+            },
+            None => response,
+        }
+    }
+}
+
+fn is_probe(request: &ReceivedRequest) -> bool {
+    request.line().starts_with("GET /health ")
+}
+
+/// Whether a request was refused with status 503.
+fn is_refusal(status: RunStatus, response: &ScriptedResponse) -> bool {
+    status == RunStatus::NotRun && response.bytes.starts_with(b"HTTP/1.1 503 ")
+}
+
 /// Whether a request crashes the replica that runs it.
 fn crashes(request: &ReceivedRequest) -> bool {
     request.line().contains(CRASH_MARK)
@@ -412,9 +595,13 @@
 
 /// Processing time of a request, derived from its id.
 fn work_time(request: &ReceivedRequest) -> Duration {
+    Duration::from_millis(MIN_WORK_MS + byte_sum(request) % WORK_RANGE_MS)
+}
+
+/// Sum of the bytes of a request's id.
+fn byte_sum(request: &ReceivedRequest) -> u64 {
     let id = request.id().unwrap_or_default();
-    let sum: u64 = id.bytes().map(u64::from).sum();
-    Duration::from_millis(MIN_WORK_MS + sum % WORK_RANGE_MS)
+    id.bytes().map(u64::from).sum()
 }
 
 fn execution(
--- a/crates/marigoldloom_soak/src/steps.rs
+++ b/crates/marigoldloom_soak/src/steps.rs
@@ -6,18 +6,18 @@
 
 use async_std::task;
 use futures::future;
-use marigoldloom_standin::users::documents::EVACUATIONS;
+use marigoldloom_standin::users::documents::{EVACUATIONS, REPLICAS, ROLLOUTS};
 use marigoldloom_standin::users::store::Mode;
 use rustix::process::Signal;
-use serde_json::json;
 
 use crate::balancer;
 use crate::callers::Callers;
-use crate::deployment::{DOMAINS, Deployment, FETCH_SERVICE, GRACE_S, shards};
-use crate::history::{DrainTarget, Scope};
-use crate::plan::{Link, Outage, Step, TimedStep};
+use crate::deployment::{Deployment, FETCH_SERVICE, GRACE_S, JOB_SERVICE, shards};
+use crate::history::{DrainTarget, RequestKind, Scope};
+use crate::plan::{EntryKind, Link, Outage, Step, TimedStep};
 use crate::process::Instance;
 use crate::proxy::Condition;
+use crate::replicas::Stutter;
 
 /// Time between two checks whether a process has exited.
 const EXIT_POLL_PERIOD: Duration = Duration::from_millis(20);
@@ -28,6 +28,9 @@
 /// Time after the grace period of a stop until a process that still runs is killed.
 const STOP_MARGIN: Duration = Duration::from_millis(200);
 
+/// Name of an entry with random bytes.
+const ODD_NAME: &str = "odd";
+
 /// Executes the steps of one phase at their times and waits until all of them are over.
 ///
 /// # Errors
@@ -123,7 +126,75 @@
             gap_ms,
         } => {
             let gap = Duration::from_millis(gap_ms);
-            callers.crash_replicas(query, count, gap).await;
+            let (kind, name) = match query {
+                true => (RequestKind::Query, "true"),
+                false => (RequestKind::Fetch, "false"),
+            };
+            callers.crash_replicas(kind, name, count, gap).await;
+            Ok(())
+        }
+        Step::CrashSplit { count, gap_ms } => {
+            let gap = Duration::from_millis(gap_ms);
+            callers
+                .crash_replicas(RequestKind::Split, "split", count, gap)
+                .await;
+            Ok(())
+        }
+        Step::Stutter {
+            replicas,
+            copy,
+            echo,
+            time_ms,
+        } => {
+            let time = Duration::from_millis(time_ms);
+            let stutter = Stutter { copy, echo };
+            let faults = replicas.into_iter();
+            let faults = faults.map(|r| deployment.replicas.stutter(r, stutter, time));
+            future::join_all(faults).await;
+            Ok(())
+        }
+        Step::LeaveLoaded {
+            job,
+            slow,
+            entry_ms,
+            requests,
+            gap_ms,
+        } => {
+            let (kind, service) = loaded(job);
+            let gap = Duration::from_millis(gap_ms);
+            let burst = callers.burst(kind, "l", requests, gap);
+            let entry = Duration::from_millis(entry_ms);
+            let leave = deployment.replicas.leave(service, slow, entry);
+            future::join(burst, leave).await.1
+        }
+        Step::Decline {
+            job,
+            replicas,
+            pause_s,
+            requests,
+            gap_ms,
+            time_ms,
+        } => {
+            let (kind, service) = loaded(job);
+            let gap = Duration::from_millis(gap_ms);
+            let burst = callers.burst(kind, "d", requests, gap);
+            let (pause, time) = (Duration::from_secs(pause_s), Duration::from_millis(time_ms));
+            let decline = deployment.replicas.decline(service, replicas, pause, time);
+            future::join(burst, decline).await;
+            Ok(())
+        }
+        Step::Chill { domain, time_ms } => {
+            let time = Duration::from_millis(time_ms);
+            deployment.replicas.chill(domain, time).await;
+            Ok(())
+        }
+        Step::OddEntry {
+            kind,
+            field,
+            bytes,
+            time_ms,
+        } => {
+            write_odd_entry(deployment, kind, field, &bytes, time_ms).await;
             Ok(())
         }
         Step::Leave(replica) => deployment.replicas.replace(replica).await,
@@ -145,6 +216,37 @@
     }
 }
 
+/// Kind of the requests that load the job service or the fetch service, and the service.
+const fn loaded(job: bool) -> (RequestKind, &'static str) {
+    match job {
+        true => (RequestKind::Job, JOB_SERVICE),
+        false => (RequestKind::Fetch, FETCH_SERVICE),
+    }
+}
+
+/// Writes an entry with `bytes` as a string, as one of its fields or as all of it, and removes it.
+async fn write_odd_entry(
+    deployment: &Deployment,
+    kind: EntryKind,
+    field: bool,
+    bytes: &[u8],
+    time_ms: u64,
+) {
+    let kind = match kind {
+        EntryKind::Replica => REPLICAS,
+        EntryKind::Evacuation => EVACUATIONS,
+        EntryKind::Rollout => ROLLOUTS,
+    };
+    let (before, after) = match field {
+        true => ("{\"Service\":\"", "\"}"),
+        false => ("\"", "\""),
+    };
+    let content = [before.as_bytes(), bytes, after.as_bytes()].concat();
+    deployment.store.put_raw(kind, ODD_NAME, content);
+    task::sleep(Duration::from_millis(time_ms)).await;
+    deployment.store.remove(kind, ODD_NAME);
+}
+
 async fn kill(deployment: &Deployment, instance: usize, down: Duration) -> io::Result<()> {
     let disruption = deployment
         .history
@@ -263,12 +365,11 @@
 }
 
 async fn evacuate_domain(deployment: &Deployment, domain: usize, time_ms: u64) {
-    let name = DOMAINS[domain];
-    deployment.store.put(EVACUATIONS, name, json!({}));
+    deployment.evacuate_domain(domain);
     let drain = deployment.history.begin_drain(DrainTarget::Domain(domain));
     task::sleep(Duration::from_millis(time_ms)).await;
     deployment.history.end_drain(drain);
-    deployment.store.remove(EVACUATIONS, name);
+    deployment.return_domain(domain);
 }
 
 /// Records an unexpected exit of an instance; `how` describes its exit status.
--- a/crates/marigoldloom_soak/tests/checks.rs
+++ b/crates/marigoldloom_soak/tests/checks.rs
@@ -8,8 +8,8 @@
 use marigoldloom_soak::deployment;
 use marigoldloom_soak::guarantees::Guarantee;
 use marigoldloom_soak::history::{
-    Configuration, Disruption, Drain, DrainTarget, Execution, Observations, Outcome, Request,
-    RequestKind, Scope, VersionMove,
+    ColdPeriod, Configuration, Disruption, Drain, DrainTarget, Execution, Observations, Outcome,
+    Refusal, Request, RequestKind, Scope, VersionMove,
 };
 use marigoldloom_standin::users::caller::Response;
 use marigoldloom_standin::users::server::{self, Identity};
@@ -211,6 +211,36 @@
     });
 }
 
+/// Adds a refusal by [`REPLICA`] that states a pause of 3 s, and `count` jobs that it gets 1 s later.
+fn add_pause(observations: &mut Observations, count: u32) {
+    observations.refusals.push(Refusal {
+        id: Arc::from("job"),
+        replica: REPLICA,
+        at: ms(20_020),
+        pause: Some(ms(3_000)),
+    });
+    add_jobs(observations, "pause", count, 21_000);
+}
+
+/// Adds requests of the job route at `sent_at`, all executed by [`REPLICA`].
+fn add_jobs(observations: &mut Observations, prefix: &str, count: u32, sent_at: u64) {
+    for number in 0..count {
+        let id = format!("{prefix}{number}");
+        let service = deployment::JOB_SERVICE;
+        add_request(observations, RequestKind::Job, &id, sent_at, service);
+    }
+}
+
+/// Adds a time in which [`REPLICA`] is cold, and `count` requests that it gets in one second.
+fn add_cold(observations: &mut Observations, count: u32) {
+    observations.cold_periods.push(ColdPeriod {
+        replica: REPLICA,
+        from: ms(25_000),
+        until: ms(28_000),
+    });
+    add_fetches(observations, "cold", count, 26_000);
+}
+
 /// Adds executions of one request that crashes replicas.
 fn add_crashes(observations: &mut Observations, count: u32, sent_at: u64) {
     let prefix = format!("crash{sent_at}-");
@@ -423,6 +453,50 @@
                 add_crashes(o, 4, 24_500);
             },
         ),
+        case(
+            "request reaches a replica after its answer that it leaves",
+            Guarantee::Closed,
+            |o| {
+                o.leaving.insert(REPLICA, ms(19_000));
+                add_jobs(o, "late", 1, 23_200);
+            },
+        ),
+        case(
+            "refused request reaches a replica after its answer that it leaves",
+            Guarantee::Closed,
+            |o| {
+                o.leaving.insert(REPLICA, ms(19_000));
+                add_jobs(o, "late", 1, 23_200);
+                let late = o.executions.pop().unwrap();
+                set_end(o, "late0", 23_300, Outcome::Lost);
+                o.refusals.push(Refusal {
+                    id: late.id,
+                    replica: REPLICA,
+                    at: late.at,
+                    pause: None,
+                });
+            },
+        ),
+        case("requests in a pause", Guarantee::Pause, |o| add_pause(o, 3)),
+        case("too many requests while cold", Guarantee::Cold, |o| {
+            add_cold(o, 12);
+        }),
+        case(
+            "crashing request of a split reaches more replicas",
+            Guarantee::Crashing,
+            |o| {
+                add_crashes(o, 3, 20_000);
+                add_crashes(o, 4, 24_500);
+                for execution in o.executions.iter_mut().rev().step_by(2).take(3) {
+                    let request = o.requests.get_mut(&execution.id).unwrap();
+                    request.kind = RequestKind::Split;
+                    execution.service = Arc::from(deployment::JOB_SERVICE);
+                }
+            },
+        ),
+        case("split reaches a third service", Guarantee::Routed, |o| {
+            add_request(o, RequestKind::Split, "split", 20_000, "version2");
+        }),
         case("instance exits unexpectedly", Guarantee::Alive, |o| {
             o.unexpected_exits
                 .push((0, ms(1_000), "exit status: 1".to_owned()));
@@ -442,6 +516,59 @@
     }
 }
 
+/// Guards against false alarms at the bounds of what replicas that leave, want no requests or are
+/// cold may get.
+#[test]
+fn bounds_of_notices_are_kept() {
+    struct Case {
+        name: &'static str,
+        mutate: Mutation,
+        disrupted: Option<Scope>,
+    }
+    let leaving: Mutation = |o| {
+        o.leaving.insert(REPLICA, ms(19_000));
+        add_jobs(o, "late", 1, 23_200);
+    };
+    let case = |name, mutate, disrupted| Case {
+        name,
+        mutate,
+        disrupted,
+    };
+    let instance = Some(Scope::Instance(0));
+    let cases = [
+        case(
+            "sent before the limit",
+            |o| {
+                o.leaving.insert(REPLICA, ms(19_000));
+                add_jobs(o, "early", 1, 23_050);
+            },
+            None,
+        ),
+        case("two requests in a pause", |o| add_pause(o, 2), None),
+        case("eleven requests while cold", |o| add_cold(o, 11), None),
+        case("instance frozen after an answer", leaving, instance),
+        case("instance frozen in a pause", |o| add_pause(o, 3), instance),
+        case("instance frozen while cold", |o| add_cold(o, 12), instance),
+    ];
+    for Case {
+        name,
+        mutate,
+        disrupted,
+    } in cases
+    {
+        let mut observations = valid_observations();
+        mutate(&mut observations);
+        if let Some(scope) = disrupted {
+            observations.disruptions.push(Disruption {
+                scope,
+                from: ms(20_500),
+                until: Some(ms(22_000)),
+            });
+        }
+        assert_eq!(checks::violations(&observations), [], "{name}");
+    }
+}
+
 /// Guards against false alarms: a disruption of the store, an instance or a replica explains late
 /// reactions.
 #[test]
--- a/crates/marigoldloom_soak/tests/plan.rs
+++ b/crates/marigoldloom_soak/tests/plan.rs
@@ -35,21 +35,27 @@
         .collect();
     let expected = [
         "Behave",
+        "Chill",
         "Configure",
         "Crash",
         "CrashReplicas",
+        "CrashSplit",
+        "Decline",
         "Evacuate",
         "Forget",
         "HangUp",
         "Kill",
         "Leave",
+        "LeaveLoaded",
         "Link",
         "Move",
         "Mute",
+        "OddEntry",
         "Outage",
         "Pause",
         "Reset",
         "Stop",
+        "Stutter",
     ];
     assert_eq!(
         names.iter().map(String::as_str).collect::<Vec<_>>(),
@@ -72,6 +78,7 @@
                     | Step::Configure { .. }
                     | Step::Leave(_)
                     | Step::Evacuate { .. }
+                    | Step::Chill { .. }
             )
         };
         assert!(
--- a/crates/marigoldloom_standin/src/users/documents.rs
+++ b/crates/marigoldloom_standin/src/users/documents.rs
@@ -1,6 +1,7 @@
 //! Objects that operators and replicas write to the store, and an instance's settings file.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use serde_json::{Value, json};
 
@@ -27,6 +28,8 @@
 pub enum Backend {
     /// A replica of this service.
     Single(String),
+    /// A replica of one of these services, which get equal shares of the requests.
+    Split(Vec<String>),
     /// A replica of each of these services.
     Shards {
         /// Services, one for each shard.
@@ -69,6 +72,11 @@
         });
         match &self.backend {
             Backend::Single(service) => route["Service"] = json!(service),
+            Backend::Split(services) => {
+                let shares = services.iter();
+                let shares = shares.map(|s| json!({"Service": s, "Weight": 1}));
+                route["WeightedSplit"] = shares.collect();
+            }
             Backend::Shards {
                 services,
                 top_k,
@@ -110,6 +118,13 @@
     })
 }
 
+/// Sets how long a replica stays cold in its announcement.
+pub fn with_warmup(mut announcement: Value, left: Duration) -> Value {
+    let millis = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+    announcement["WarmupLeftMs"] = json!(millis);
+    announcement
+}
+
 /// Changes an announcement to that of a replica whose software has another version.
 pub fn with_version(mut announcement: Value, version: &str) -> Value {
     announcement["ConfigVersion"] = json!(version);
--- a/crates/marigoldloom_standin/src/users/replica.rs
+++ b/crates/marigoldloom_standin/src/users/replica.rs
@@ -10,6 +10,7 @@
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 use futures::{AsyncReadExt, AsyncWriteExt, future};
+use serde::Serialize;
 
 use super::caller;
 
@@ -50,6 +51,8 @@
 
 /// When the bytes of a response are sent a second time.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Copy {
     /// Never.
     #[default]
@@ -103,6 +106,16 @@
         }
     }
 
+    /// Adds header lines, each of which ends with CRLF.
+    pub fn with_headers(self, lines: &str) -> Self {
+        let (head, body) = self.split();
+        let fields = head.strip_suffix("\r\n").unwrap_or(&head);
+        Self {
+            bytes: [fields.as_bytes(), lines.as_bytes(), b"\r\n", body].concat(),
+            ..self
+        }
+    }
+
     /// Omits the header with the id of the attempt.
     pub fn without_id(self) -> Self {
         let (head, body) = self.split();
--- a/crates/marigoldloom_standin/src/users/server.rs
+++ b/crates/marigoldloom_standin/src/users/server.rs
@@ -60,6 +60,34 @@
     Run,
 }
 
+/// Responses in which a replica echoes the id of the attempt.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Echo {
+    /// All of them.
+    #[default]
+    All,
+    /// Only those to requests that didn't run.
+    Refusals,
+    /// Only those to requests that ran.
+    Answers,
+    /// None of them.
+    None,
+}
+
+impl Echo {
+    /// Omits the id from the response to a request with this status if it isn't echoed.
+    pub fn apply(self, status: RunStatus, response: ScriptedResponse) -> ScriptedResponse {
+        match (self, status) {
+            (Self::All, _)
+            | (Self::Refusals, RunStatus::NotRun)
+            | (Self::Answers, RunStatus::Run) => response,
+            _ => response.without_id(),
+        }
+    }
+}
+
 /// Returns whether `request` ran and the response to it. A request that isn't slowed down takes
 /// `work`.
 pub fn respond(
--- a/crates/marigoldloom_standin/src/users/store.rs
+++ b/crates/marigoldloom_standin/src/users/store.rs
@@ -42,8 +42,8 @@
     objects: BTreeMap<(String, String), Value>,
     /// Maps an address to the one that readers get in its place.
     redirects: BTreeMap<String, String>,
-    /// Text that stands in responses in place of a string, for JSON that `Value` can't hold.
-    raw: BTreeMap<String, String>,
+    /// Bytes that stand in responses in place of a string, for content that `Value` can't hold.
+    raw: BTreeMap<String, Vec<u8>>,
     events: Vec<Event>,
     /// A watch since an earlier revision than this gets status 410.
     compacted: u64,
@@ -97,10 +97,10 @@
         state.record(kind, false, object);
     }
 
-    /// Creates or replaces an object whose content is the JSON `text`, which needs no validity.
-    pub fn put_raw(&self, kind: &str, name: &str, text: &str) {
+    /// Creates or replaces an object whose content is `bytes`, which needn't be valid JSON or UTF-8.
+    pub fn put_raw(&self, kind: &str, name: &str, bytes: impl Into<Vec<u8>>) {
         let mark = format!("raw-{name}");
-        self.state().raw.insert(mark.clone(), text.to_owned());
+        self.state().raw.insert(mark.clone(), bytes.into());
         self.put(kind, name, Value::String(mark));
     }
 
@@ -236,11 +236,14 @@
     }
 
     fn respond(&self, body: &Value) -> Response {
-        let mut text = body.to_string();
+        let mut bytes = body.to_string().into_bytes();
         for (mark, raw) in &self.raw {
-            text = text.replace(&format!("\"{mark}\""), raw);
+            let mark = format!("\"{mark}\"").into_bytes();
+            while let Some(at) = bytes.windows(mark.len()).position(|w| w == mark) {
+                bytes.splice(at..at + mark.len(), raw.iter().copied());
+            }
         }
-        Response::new(StatusCode::Ok).with_body(text)
+        Response::new(StatusCode::Ok).with_body(bytes)
     }
 
     /// Returns an object as readers get it, with redirected addresses.
