Name stalls of the soak's own process in its traces

The trace couldn't tell whether the soak itself was late. It now lists when a task of the soak's process ran over 100 ms too late; this excuses nothing.

The check of answers with Server-Leaving also looks executions up in a map, not in the list for each answer.

--- a/crates/marigoldloom_soak/src/checks/notices.rs
+++ b/crates/marigoldloom_soak/src/checks/notices.rs
@@ -1,6 +1,7 @@
 //! Checks what replicas get after they said that they leave, want no requests for a time, or are
 //! cold.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -61,11 +62,12 @@
 /// Checks that a process sends nothing new to a replica after it has passed on an answer in which
 /// the replica says that it leaves.
 pub(super) fn check_leaving(observations: &Observations) -> Vec<Violation> {
+    let executions: BTreeMap<_, _> = observations.executions.iter().map(|e| (&e.id, e)).collect();
     let told: Vec<_> = responses(observations)
         .filter(|(id, ..)| direct(observations, id).is_some())
         .filter_map(|(id, request, end, response)| {
             let signature = response.signature()?;
-            let execution = observations.executions.iter().find(|e| e.id == *id)?;
+            let execution = executions.get(id)?;
             let since = observations.leaving.get(&execution.replica)?;
             let told = *signature.request == **id && execution.at >= *since;
             told.then_some((execution.replica, request, end))
--- a/crates/marigoldloom_soak/src/history.rs
+++ b/crates/marigoldloom_soak/src/history.rs
@@ -4,8 +4,15 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use async_std::task;
 use marigoldloom_standin::users::caller::Response;
 
+/// Time between two checks whether this process is late.
+const STALL_POLL_PERIOD: Duration = Duration::from_millis(10);
+
+/// Smallest delay that is recorded.
+const MIN_STALL: Duration = Duration::from_millis(100);
+
 /// Kind of a request, which decides its route.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RequestKind {
@@ -200,6 +207,8 @@
     pub unexpected_exits: Vec<(usize, Duration, String)>,
     /// Start of the maintenance phase, in which no faults are injected. `None` before.
     pub maintenance_start: Option<Duration>,
+    /// When the soak's own process was late, and by how much.
+    pub stalls: Vec<(Duration, Duration)>,
     /// Index of the failure domain of each replica.
     pub domains: Vec<usize>,
 }
@@ -233,6 +242,19 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Records when a task of this process runs far too late. Callers, proxies and replicas are then
+    /// late, too. Runs until dropped.
+    pub async fn record_stalls(self) {
+        loop {
+            let due = self.now() + STALL_POLL_PERIOD;
+            task::sleep(STALL_POLL_PERIOD).await;
+            let late = self.now().saturating_sub(due);
+            if late > MIN_STALL {
+                self.observations().stalls.push((due, late));
+            }
+        }
+    }
+
     /// Records the start of a disruption. Returns its index, for [`Self::end_disruption`].
     pub fn begin_disruption(&self, scope: Scope) -> usize {
         let from = self.now();
--- a/crates/marigoldloom_soak/src/run.rs
+++ b/crates/marigoldloom_soak/src/run.rs
@@ -144,6 +144,7 @@
     let background = [
         task::spawn(balancer.probe(Arc::clone(&deployment))),
         task::spawn(callers.clone().run(seed, settings.rate)),
+        task::spawn(deployment.history.clone().record_stalls()),
     ];
     let restarts = task::spawn(steps::restart_exited(Arc::clone(&deployment)));
     let steps = async {
@@ -208,14 +209,17 @@
     }
 }
 
-/// Collects the disruptions, and the observations and log lines of the request that shows
-/// `violation`.
+/// Collects the disruptions, the stalls, and the observations and log lines of the request that
+/// shows `violation`.
 fn trace(
     deployment: &Deployment,
     observations: &Observations,
     violation: &Violation,
 ) -> io::Result<Vec<String>> {
-    let mut trace = vec![format!("disruptions: {:?}", observations.disruptions)];
+    let mut trace = vec![
+        format!("disruptions: {:?}", observations.disruptions),
+        format!("stalls of the soak: {:?}", observations.stalls),
+    ];
     let Some(id) = &violation.request else {
         return Ok(trace);
     };
