Give the addresses of a soak's instance different ports

Its settings had the same port for readiness and for other instances: the soak closed each listener that found a free port before it opened the next one. A fault of the soak; it now opens the three at the same time.

--- a/crates/marigoldloom_soak/src/deployment.rs
+++ b/crates/marigoldloom_soak/src/deployment.rs
@@ -6,6 +6,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use async_std::net::TcpListener;
+use futures::future;
 use marigoldloom_http::server::Server;
 use marigoldloom_standin::users::documents::{
     self, Backend, CONFIGURATION, CONFIGURATION_NAME, EVACUATIONS, Node, Route,
@@ -225,11 +226,7 @@
 ) -> io::Result<Member> {
     // The port of the metrics endpoint is fixed, so each instance needs its own IP address.
     let ip = instance_address(number);
-    let (callers, readiness, peers) = (
-        free_port(ip).await?,
-        free_port(ip).await?,
-        free_port(ip).await?,
-    );
+    let [callers, readiness, peers] = free_ports(ip).await?;
     let store_proxy = Proxy::start(store_address).await?;
     let peer_proxy = Proxy::start(peers).await?;
     store.redirect(peers, peer_proxy.address());
@@ -264,9 +261,16 @@
     Ipv4Addr::new(127, part(run / 250).max(2), part(run), last).into()
 }
 
-/// Finds a free port at `ip`.
-async fn free_port(ip: IpAddr) -> io::Result<SocketAddr> {
-    TcpListener::bind((ip, 0)).await?.local_addr()
+/// Finds different free ports at `ip`.
+async fn free_ports(ip: IpAddr) -> io::Result<[SocketAddr; 3]> {
+    let bind = || TcpListener::bind((ip, 0));
+    // All are bound at the same time, or the second could be the first one again.
+    let (first, second, third) = future::try_join3(bind(), bind(), bind()).await?;
+    Ok([
+        first.local_addr()?,
+        second.local_addr()?,
+        third.local_addr()?,
+    ])
 }
 
 fn configuration_document(number: u64, set: usize) -> Value {
