--- a/crates/marigoldloom_soak/src/deployment.rs
+++ b/crates/marigoldloom_soak/src/deployment.rs
@@ -52,7 +52,7 @@
 const MAX_CONNECTIONS: u32 = 32;
 
 /// Requests per second that a cold replica tolerates.
-pub const COLD_RATE: f64 = 4.0;
+pub const COLD_RATE: f64 = 1.0;
 
 /// Path prefix of the route for requests of `kind`.
 pub const fn path_prefix(kind: RequestKind) -> &'static str {
@@ -83,8 +83,7 @@
         RequestKind::Query => false,
         RequestKind::Fetch => service == FETCH_SERVICE,
         RequestKind::Job => service == JOB_SERVICE,
-        RequestKind::Version => service.starts_with("version"),
-        RequestKind::Split => [FETCH_SERVICE, JOB_SERVICE].contains(&service),
+        RequestKind::Version | RequestKind::Split => service.starts_with("version"),
     }
 }
 
@@ -291,7 +290,7 @@
         min_ratio: MIN_SHARD_SHARE,
     };
     let single = |service: String| Backend::Single(service);
-    let split = Backend::Split([FETCH_SERVICE, JOB_SERVICE].map(str::to_owned).into());
+    let split = Backend::Split((0..VERSION_SERVICES).map(version_service).collect());
     let routes = [
         route(RequestKind::Query, query, 1_000, 300),
         route(
--- a/crates/marigoldloom_soak/tests/checks.rs
+++ b/crates/marigoldloom_soak/tests/checks.rs
@@ -479,7 +479,7 @@
         ),
         case("requests in a pause", Guarantee::Pause, |o| add_pause(o, 3)),
         case("too many requests while cold", Guarantee::Cold, |o| {
-            add_cold(o, 12);
+            add_cold(o, 7);
         }),
         case(
             "crashing request of a split reaches more replicas",
@@ -490,12 +490,13 @@
                 for execution in o.executions.iter_mut().rev().step_by(2).take(3) {
                     let request = o.requests.get_mut(&execution.id).unwrap();
                     request.kind = RequestKind::Split;
-                    execution.service = Arc::from(deployment::JOB_SERVICE);
+                    execution.service = Arc::from("version1");
                 }
             },
         ),
-        case("split reaches a third service", Guarantee::Routed, |o| {
-            add_request(o, RequestKind::Split, "split", 20_000, "version2");
+        case("split reaches another service", Guarantee::Routed, |o| {
+            let service = deployment::FETCH_SERVICE;
+            add_request(o, RequestKind::Split, "split", 20_000, service);
         }),
         case("instance exits unexpectedly", Guarantee::Alive, |o| {
             o.unexpected_exits
@@ -545,10 +546,10 @@
             None,
         ),
         case("two requests in a pause", |o| add_pause(o, 2), None),
-        case("eleven requests while cold", |o| add_cold(o, 11), None),
+        case("six requests while cold", |o| add_cold(o, 6), None),
         case("instance frozen after an answer", leaving, instance),
         case("instance frozen in a pause", |o| add_pause(o, 3), instance),
-        case("instance frozen while cold", |o| add_cold(o, 12), instance),
+        case("instance frozen while cold", |o| add_cold(o, 7), instance),
     ];
     for Case {
         name,
