--- a/crates/marigoldloom_soak/src/deployment.rs
+++ b/crates/marigoldloom_soak/src/deployment.rs
@@ -6,12 +6,13 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use async_std::net::TcpListener;
+use futures::future;
 use marigoldloom_http::server::Server;
 use marigoldloom_standin::users::documents::{
-    self, Backend, CONFIGURATION, CONFIGURATION_NAME, Node, Route,
+    self, Backend, CONFIGURATION, CONFIGURATION_NAME, EVACUATIONS, Node, Route,
 };
 use marigoldloom_standin::users::store::Store;
-use serde_json::Value;
+use serde_json::{Value, json};
 
 use crate::history::{Configuration, History, RequestKind};
 use crate::plan::{Link, Sizes};
@@ -50,6 +51,9 @@
 /// Maximum number of connections to a replica that the configuration allows.
 const MAX_CONNECTIONS: u32 = 32;
 
+/// Requests per second that a cold replica tolerates.
+pub const COLD_RATE: f64 = 1.0;
+
 /// Path prefix of the route for requests of `kind`.
 pub const fn path_prefix(kind: RequestKind) -> &'static str {
     match kind {
@@ -57,6 +61,7 @@
         RequestKind::Fetch => "/fetch/",
         RequestKind::Job => "/job/",
         RequestKind::Version => "/version/",
+        RequestKind::Split => "/split/",
     }
 }
 
@@ -78,7 +83,7 @@
         RequestKind::Query => false,
         RequestKind::Fetch => service == FETCH_SERVICE,
         RequestKind::Job => service == JOB_SERVICE,
-        RequestKind::Version => service.starts_with("version"),
+        RequestKind::Version | RequestKind::Split => service.starts_with("version"),
     }
 }
 
@@ -115,6 +120,8 @@
     pub members: Vec<Member>,
     /// Number and shard set of the latest configuration.
     latest: Mutex<(u64, usize)>,
+    /// Number of evacuations in progress for each failure domain.
+    evacuations: Mutex<[usize; DOMAINS.len()]>,
     _server: Server,
 }
 
@@ -141,6 +148,7 @@
             replicas,
             members,
             latest: Mutex::new((0, 0)),
+            evacuations: Mutex::default(),
             _server: server,
         };
         deployment.configure(false);
@@ -168,6 +176,27 @@
             });
     }
 
+    /// Evacuates a failure domain until [`Self::return_domain`] is called as often.
+    pub fn evacuate_domain(&self, domain: usize) {
+        let mut evacuations = self.lock_evacuations();
+        evacuations[domain] += 1;
+        self.store.put(EVACUATIONS, DOMAINS[domain], json!({}));
+    }
+
+    /// Ends an evacuation of a failure domain.
+    pub fn return_domain(&self, domain: usize) {
+        let mut evacuations = self.lock_evacuations();
+        evacuations[domain] -= 1;
+        if evacuations[domain] == 0 {
+            self.store.remove(EVACUATIONS, DOMAINS[domain]);
+        }
+    }
+
+    fn lock_evacuations(&self) -> MutexGuard<'_, [usize; DOMAINS.len()]> {
+        let evacuations = self.evacuations.lock();
+        evacuations.unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Kills all instances and prevents restarts.
     pub fn close(&self) {
         for member in &self.members {
@@ -196,11 +225,7 @@
 ) -> io::Result<Member> {
     // The port of the metrics endpoint is fixed, so each instance needs its own IP address.
     let ip = instance_address(number);
-    let (callers, readiness, peers) = (
-        free_port(ip).await?,
-        free_port(ip).await?,
-        free_port(ip).await?,
-    );
+    let [callers, readiness, peers] = free_ports(ip).await?;
     let store_proxy = Proxy::start(store_address).await?;
     let peer_proxy = Proxy::start(peers).await?;
     store.redirect(peers, peer_proxy.address());
@@ -235,9 +260,16 @@
     Ipv4Addr::new(127, part(run / 250).max(2), part(run), last).into()
 }
 
-/// Finds a free port at `ip`.
-async fn free_port(ip: IpAddr) -> io::Result<SocketAddr> {
-    TcpListener::bind((ip, 0)).await?.local_addr()
+/// Finds different free ports at `ip`.
+async fn free_ports(ip: IpAddr) -> io::Result<[SocketAddr; 3]> {
+    let bind = || TcpListener::bind((ip, 0));
+    // All are bound at the same time, or the second could be the first one again.
+    let (first, second, third) = future::try_join3(bind(), bind(), bind()).await?;
+    Ok([
+        first.local_addr()?,
+        second.local_addr()?,
+        third.local_addr()?,
+    ])
 }
 
 fn configuration_document(number: u64, set: usize) -> Value {
@@ -258,6 +290,7 @@
         min_ratio: MIN_SHARD_SHARE,
     };
     let single = |service: String| Backend::Single(service);
+    let split = Backend::Split((0..VERSION_SERVICES).map(version_service).collect());
     let routes = [
         route(RequestKind::Query, query, 1_000, 300),
         route(
@@ -273,13 +306,18 @@
             1_000,
             300,
         ),
+        route(RequestKind::Split, split, 2_000, 500),
     ];
     let versions = (0..VERSION_SERVICES).map(version_service);
     let services = (0..SHARD_SETS.len()).flat_map(shards).chain(versions);
     let services: Vec<_> = services
         .chain([FETCH_SERVICE, JOB_SERVICE].map(str::to_owned))
         .collect();
-    documents::configuration(number, &routes, &services, MAX_CONNECTIONS)
+    let mut document = documents::configuration(number, &routes, &services, MAX_CONNECTIONS);
+    for service in document["Services"].as_array_mut().into_iter().flatten() {
+        service["ColdPerS"] = json!(COLD_RATE);
+    }
+    document
 }
 
 /// Path of the directory for the files of a run, below the system's directory for temporary files.
--- a/crates/marigoldloom_soak/src/history.rs
+++ b/crates/marigoldloom_soak/src/history.rs
@@ -4,8 +4,15 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use async_std::task;
 use marigoldloom_standin::users::caller::Response;
 
+/// Time between two checks whether this process is late.
+const STALL_POLL_PERIOD: Duration = Duration::from_millis(10);
+
+/// Smallest delay that is recorded.
+const MIN_STALL: Duration = Duration::from_millis(100);
+
 /// Kind of a request, which decides its route.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RequestKind {
@@ -17,6 +24,8 @@
     Job,
     /// Is answered by the service that identifies the configuration in force.
     Version,
+    /// Is answered by one replica of one of several services. Idempotent.
+    Split,
 }
 
 /// How a request ended for its caller.
@@ -79,6 +88,30 @@
     pub timeout: Option<Duration>,
 }
 
+/// A refusal with status 503 by a replica.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// Id of the request.
+    pub id: Arc<str>,
+    /// Index of the replica.
+    pub replica: usize,
+    /// When the request arrived.
+    pub at: Duration,
+    /// Time for which the replica wants no requests of the sender, if it states one.
+    pub pause: Option<Duration>,
+}
+
+/// A period in which a replica is cold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ColdPeriod {
+    /// Index of the replica.
+    pub replica: usize,
+    /// When it was written to the store.
+    pub from: Duration,
+    /// When it ends.
+    pub until: Duration,
+}
+
 /// A configuration that the operator wrote to the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Configuration {
@@ -156,6 +189,12 @@
     pub requests: BTreeMap<Arc<str>, Request>,
     /// Executions in the order in which they started.
     pub executions: Vec<Execution>,
+    /// Refusals by replicas in the order in which they were sent.
+    pub refusals: Vec<Refusal>,
+    /// Replicas that say in all their responses that they leave, and since when.
+    pub leaving: BTreeMap<usize, Duration>,
+    /// Periods in which replicas are cold.
+    pub cold_periods: Vec<ColdPeriod>,
     /// Configurations in the order in which they were written.
     pub configurations: Vec<Configuration>,
     /// Drains of replicas and failure domains.
@@ -168,6 +207,8 @@
     pub unexpected_exits: Vec<(usize, Duration, String)>,
     /// Start of the maintenance phase, in which no faults are injected. `None` before.
     pub maintenance_start: Option<Duration>,
+    /// When the soak's own process was late, and by how much.
+    pub stalls: Vec<(Duration, Duration)>,
     /// Index of the failure domain of each replica.
     pub domains: Vec<usize>,
 }
@@ -201,6 +242,19 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Records when a task of this process runs far too late. Callers, proxies and replicas are then
+    /// late, too. Runs until dropped.
+    pub async fn record_stalls(self) {
+        loop {
+            let due = self.now() + STALL_POLL_PERIOD;
+            task::sleep(STALL_POLL_PERIOD).await;
+            let late = self.now().saturating_sub(due);
+            if late > MIN_STALL {
+                self.observations().stalls.push((due, late));
+            }
+        }
+    }
+
     /// Records the start of a disruption. Returns its index, for [`Self::end_disruption`].
     pub fn begin_disruption(&self, scope: Scope) -> usize {
         let from = self.now();
