--- a/crates/marigoldloom_front/src/decisions.rs
+++ b/crates/marigoldloom_front/src/decisions.rs
@@ -2,6 +2,7 @@
 //! instances must know.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use marigoldloom_limits::fingerprint::{Fingerprint, Silence};
 use marigoldloom_moves::window;
@@ -17,6 +18,9 @@
 use crate::moves::Moves;
 use crate::strikes;
 
+/// Latency of a slow reply during a version move, as a multiple of the delay before a hedge.
+const SLOW_FACTOR: u32 = 2;
+
 /// Logs each decision of the engine and each failed attempt, and counts all attempts. Passes
 /// attempts to the version moves, and strikes to the other instances.
 pub(crate) struct DecisionLog<R> {
@@ -47,11 +51,16 @@
             failed,
             slow: attempt
                 .slow_after
-                .map(|limit| window::is_slow(attempt.latency, limit, attempt.median)),
+                .map(|limit| is_slow(attempt.latency, limit)),
         });
     }
 }
 
+/// Returns whether a reply is slow enough to tell against the version of its upstream.
+fn is_slow(latency: Duration, limit: Duration) -> bool {
+    latency > limit * SLOW_FACTOR
+}
+
 const fn origin<'a>(attempt: &OpenAttempt<'a>) -> window::Origin<'a> {
     window::Origin {
         service: attempt.shard_service,
@@ -68,7 +77,7 @@
     fn attempt_abandoned(&self, attempt: &OpenAttempt<'_>) {
         match attempt.slow_after {
             // It would have been slow, whatever its result.
-            Some(limit) if window::is_slow(attempt.latency, limit, attempt.median) => {
+            Some(limit) if is_slow(attempt.latency, limit) => {
                 self.moves.observe(&window::Attempt {
                     origin: origin(attempt),
                     failed: false,
--- a/crates/marigoldloom_moves/src/window.rs
+++ b/crates/marigoldloom_moves/src/window.rs
@@ -43,13 +43,6 @@
 /// Time after the end of a move for which its evidence is kept.
 const RETENTION: Duration = Duration::from_secs(600);
 
-/// Latency of a slow reply, as a multiple of the delay before a hedge.
-const SLOW_FACTOR: u32 = 2;
-
-/// The same as a multiple of the median. A few slow replies of the old version, as beside load, must
-/// not hide a version with many of them.
-const SLOW_MEDIANS: u32 = 4;
-
 /// All requests, in thousandths.
 const ALL: u64 = 1_000;
 
@@ -430,14 +423,6 @@
     }
 }
 
-/// Returns whether a reply is slow enough to tell against the version of its upstream. `hedge_delay`
-/// and `median` are those of its service and route.
-pub fn is_slow(latency: Duration, hedge_delay: Duration, median: Option<Duration>) -> bool {
-    let limit = hedge_delay * SLOW_FACTOR;
-    let limit = median.map_or(limit, |median| limit.min(median * SLOW_MEDIANS));
-    latency > limit
-}
-
 /// Returns whether a request goes to the new version at a share in thousandths. All instances decide
 /// alike, so that a forwarded request gets the same version.
 fn is_chosen(name: &str, request: u64, share: u64) -> bool {
--- a/crates/marigoldloom_query/src/attempt.rs
+++ b/crates/marigoldloom_query/src/attempt.rs
@@ -67,8 +67,6 @@
     started: Timestamp,
     /// A reply that takes longer, or an attempt abandoned after at least this time, is slow.
     slow_after: Duration,
-    /// Median latency of the route at the start, if it was known.
-    median: Option<Duration>,
     /// Replicated service of the shard.
     shard_service: Arc<str>,
     route: Arc<str>,
@@ -82,7 +80,6 @@
     pub(crate) purpose: hooks::Purpose,
     /// A reply that takes longer is slow.
     pub(crate) slow_after: Duration,
-    pub(crate) median: Option<Duration>,
     pub(crate) shard_service: &'a Arc<str>,
     pub(crate) route: &'a Arc<str>,
 }
@@ -130,7 +127,6 @@
             health: selected.health,
             started: now,
             slow_after: origin.slow_after,
-            median: origin.median,
             shard_service: Arc::clone(origin.shard_service),
             route: Arc::clone(origin.route),
             pending: true,
@@ -214,7 +210,6 @@
                 purpose: self.purpose,
                 latency,
                 slow_after: (!self.cold).then_some(self.slow_after),
-                median: self.median,
                 failure: result.as_ref().err().map(answer::Reason::from),
             });
     }
@@ -228,7 +223,6 @@
             version: &self.replica.version,
             latency: self.core.rt.now().since(self.started),
             slow_after: (!self.cold).then_some(self.slow_after),
-            median: self.median,
         }
     }
 
--- a/crates/marigoldloom_query/src/hooks.rs
+++ b/crates/marigoldloom_query/src/hooks.rs
@@ -91,8 +91,6 @@
     pub latency: Duration,
     /// Latency above which a reply counts as slow; `None` on a cold upstream.
     pub slow_after: Option<Duration>,
-    /// Median latency of the route; `None` if it isn't known yet.
-    pub median: Option<Duration>,
 }
 
 /// An attempt at a subquery that ended with a reply or an error.
@@ -116,8 +114,6 @@
     pub latency: Duration,
     /// Latency above which a reply counts as slow; `None` on a cold upstream.
     pub slow_after: Option<Duration>,
-    /// Median latency of the route; `None` if it isn't known yet.
-    pub median: Option<Duration>,
     /// Why the attempt gave no part; `None` if it succeeded.
     pub failure: Option<answer::Reason>,
 }
--- a/crates/marigoldloom_query/src/shard.rs
+++ b/crates/marigoldloom_query/src/shard.rs
@@ -355,11 +355,9 @@
     }
 
     fn origin(&self, shard: u32, purpose: Purpose) -> attempt::Origin<'_> {
-        let service = self.shard_service(shard);
         attempt::Origin {
             purpose,
             slow_after: self.base_hedge_delay(shard),
-            median: service.median(&self.request.route, self.core.rt.now()),
             shard_service: self.shard_service_name(shard),
             route: &self.request.route,
         }
--- a/crates/marigoldloom_query/src/state.rs
+++ b/crates/marigoldloom_query/src/state.rs
@@ -424,12 +424,6 @@
         tracked.unwrap_or(INITIAL_HEDGE_DELAY).max(MIN_HEDGE_DELAY)
     }
 
-    /// Returns the median latency of `route`; `None` if it isn't known yet.
-    pub(crate) fn median(&self, route: &str, now: Timestamp) -> Option<Duration> {
-        let known = self.latencies.tracker(route).latencies(now);
-        known.map(|latencies| latencies.median)
-    }
-
     /// Records that the hedge budget is spent. Returns whether a report of that is due.
     pub(crate) fn note_hedging_stopped(&self, now: Timestamp) -> bool {
         let mut stop_reported = self
--- a/crates/marigoldloom_routing/src/quantile.rs
+++ b/crates/marigoldloom_routing/src/quantile.rs
@@ -33,17 +33,8 @@
     previous: Histogram<u32>,
     rotated_at: time::Timestamp,
     evaluated_at: time::Timestamp,
-    /// Quantile and median at `evaluated_at`; none if there were too few samples.
-    value: Option<Latencies>,
-}
-
-/// What a tracker knows of its latencies.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Latencies {
-    /// The tracked quantile.
-    pub quantile: Duration,
-    /// The median.
-    pub median: Duration,
+    /// Quantile at `evaluated_at`; none if there were too few samples.
+    value: Option<Duration>,
 }
 
 impl Tracker {
@@ -76,11 +67,6 @@
 
     /// Returns the quantile, or none if there are too few samples.
     pub fn value(&self, now: time::Timestamp) -> Option<Duration> {
-        self.latencies(now).map(|latencies| latencies.quantile)
-    }
-
-    /// Returns the quantile and the median, or none if there are too few samples.
-    pub fn latencies(&self, now: time::Timestamp) -> Option<Latencies> {
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
         if state.value.is_none() || now.since(state.evaluated_at) >= REFRESH_INTERVAL {
             state.evaluated_at = now;
@@ -91,16 +77,12 @@
 }
 
 impl State {
-    fn evaluate(&self, quantile: f64) -> Option<Latencies> {
+    fn evaluate(&self, quantile: f64) -> Option<Duration> {
         let mut merged = self.previous.clone();
         merged.add(&self.current).ok()?;
-        let at = |quantile| Duration::from_micros(merged.value_at_quantile(quantile));
         match merged.len() {
             n if n < MIN_SAMPLES => None,
-            _ => Some(Latencies {
-                quantile: at(quantile),
-                median: at(0.5),
-            }),
+            _ => Some(Duration::from_micros(merged.value_at_quantile(quantile))),
         }
     }
 }
