--- a/crates/marigoldloom_front/src/instance.rs
+++ b/crates/marigoldloom_front/src/instance.rs
@@ -15,7 +15,6 @@
 use marigoldloom_catalog::source::Source;
 use marigoldloom_limits::allowance::{Allowance, Sender};
 use marigoldloom_limits::cold;
-use marigoldloom_moves::phases;
 use marigoldloom_moves::plan::Exposure;
 use marigoldloom_peers::exchange::{Entry, Space};
 use marigoldloom_query::engine::{self, Engine};
@@ -39,7 +38,7 @@
 use crate::front::{self, Front};
 use crate::homes::{self, Homes};
 use crate::listener::{self, Handler, Stop};
-use crate::moves::{Moves, Versions, ViewOrders};
+use crate::moves::{self, Moves, Versions};
 use crate::records::Peers;
 use crate::sharing::Sharing;
 use crate::strikes;
@@ -183,13 +182,8 @@
     });
     let feed = Arc::clone(&sharing.feed);
     follow(rt, source.clone(), own, roster, &settings.place, &sharing);
-    let orders = ViewOrders {
-        rt,
-        source,
-        latest: sharing.latest.clone(),
-        feed: Arc::clone(&feed),
-    };
-    rt.spawn(phases::run(rt, moves, orders));
+    let latest = sharing.latest.clone();
+    rt.spawn(moves::run(rt, source, moves, latest, Arc::clone(&feed)));
     let stop = Stop::default();
     let latest = sharing.latest.clone();
     let front = Front::new(front::Shared {
--- a/crates/marigoldloom_moves/src/evidence.rs
+++ b/crates/marigoldloom_moves/src/evidence.rs
@@ -140,11 +140,6 @@
         }
     }
 
-    /// Returns the writers of the reports.
-    pub fn writers(&self) -> impl Iterator<Item = &str> {
-        self.reports.keys().map(String::as_str)
-    }
-
     /// Returns whether any instance found the move complete.
     pub fn is_done(&self) -> bool {
         self.reports.values().any(|report| report.done)
--- a/crates/marigoldloom_moves/src/lib.rs
+++ b/crates/marigoldloom_moves/src/lib.rs
@@ -8,12 +8,11 @@
 //!
 //! [`control`] runs moves between versions of a whole service, which proceed in steps that each need
 //! proof. [`window`] runs moves of replicated services that must end within seconds, by a [`plan`]
-//! that bounds what the new version gets over the whole time, and [`phases`] writes how they end.
+//! that bounds what the new version gets over the whole time.
 
 pub mod control;
 pub mod evidence;
 pub mod moves;
-pub mod phases;
 pub mod plan;
 pub mod sequential;
 pub mod share;
--- a/crates/marigoldloom_moves/src/plan.rs
+++ b/crates/marigoldloom_moves/src/plan.rs
@@ -15,21 +15,10 @@
 /// Time before the end of the window at which all requests go to a proven version.
 const SWITCH_MARGIN: Duration = Duration::from_millis(700);
 
-/// Time between the end of the load test and the verdict, in which its last replies arrive and the
+/// Time between the end of the load test and the switch, in which its last replies arrive and the
 /// instances learn of each other's evidence.
 const VERDICT_TIME: Duration = Duration::from_millis(700);
 
-/// Time between the verdict and the switch, in which the instances learn of each other's verdicts.
-const AGREEMENT_TIME: Duration = Duration::from_millis(300);
-
-/// Time before the end of the window at which the move is declared done, so that requests to the
-/// old version have ended when its replicas stop.
-const DONE_MARGIN: Duration = Duration::from_millis(500);
-
-/// Time before the end of the window at which a version without proof is taken back. By then an
-/// instance with proof has told the others.
-const UNPROVEN_MARGIN: Duration = Duration::from_millis(650);
-
 /// Shortest window that leaves time for a trial; a shorter one counts as this one.
 const MIN_WINDOW: Duration = Duration::from_secs(2);
 
@@ -67,8 +56,6 @@
     LoadTest,
     /// It gets a small share again until all instances know what the load test has shown.
     Verdict,
-    /// It gets a small share until all instances know whether one of them found it proven.
-    Agreement,
     /// All requests go to it if it is proven.
     Switch,
 }
@@ -79,7 +66,7 @@
     pub(crate) const fn step(self) -> Step {
         match self {
             Self::Trial => Step::Five,
-            Self::LoadTest | Self::Verdict | Self::Agreement | Self::Switch => Step::Full,
+            Self::LoadTest | Self::Verdict | Self::Switch => Step::Full,
         }
     }
 }
@@ -124,48 +111,23 @@
         Duration::from_secs_f64((allowed - others).clamp(0.0, longest))
     }
 
-    /// Returns the time from the start of the window to the end of the load test.
-    pub(crate) fn load_end(&self) -> Duration {
-        self.verdict_at().saturating_sub(VERDICT_TIME)
-    }
-
-    fn verdict_at(&self) -> Duration {
-        self.switch_at().saturating_sub(AGREEMENT_TIME)
+    fn load_end(&self) -> Duration {
+        self.switch_at().saturating_sub(VERDICT_TIME)
     }
 
     /// Returns the time from the start of the window to the switch.
-    fn switch_at(&self) -> Duration {
+    pub(crate) fn switch_at(&self) -> Duration {
         self.window.saturating_sub(SWITCH_MARGIN)
     }
 
-    /// Returns the time from the start of the window at which the move is declared done.
-    pub(crate) fn done_at(&self) -> Duration {
-        self.window.saturating_sub(DONE_MARGIN)
-    }
-
-    /// Returns the time from the start of the window at which an unproven version is taken back.
-    pub(crate) fn unproven_at(&self) -> Duration {
-        self.window.saturating_sub(UNPROVEN_MARGIN)
-    }
-
-    /// Returns the time until something is due after `elapsed`; `None` if nothing is.
-    pub(crate) fn until_next(&self, elapsed: Duration) -> Option<Duration> {
-        let times = [
-            self.load_start.unwrap_or_default(),
-            self.load_end(),
-            self.verdict_at(),
-            self.switch_at(),
-            self.unproven_at(),
-            self.done_at(),
-        ];
-        let coming = times.into_iter().filter(|at| *at > elapsed).min();
-        coming.map(|at| at.saturating_sub(elapsed))
+    /// Returns the length of the window.
+    pub(crate) const fn window(&self) -> Duration {
+        self.window
     }
 
     pub(crate) fn stage(&self, elapsed: Duration) -> Stage {
         match self.load_start {
             _ if elapsed >= self.switch_at() => Stage::Switch,
-            _ if elapsed >= self.verdict_at() => Stage::Agreement,
             _ if elapsed >= self.load_end() => Stage::Verdict,
             Some(start) if elapsed >= start => Stage::LoadTest,
             _ => Stage::Trial,
--- a/crates/marigoldloom_moves/src/window.rs
+++ b/crates/marigoldloom_moves/src/window.rs
@@ -77,23 +77,12 @@
     step: Step,
     /// Share of the requests that go to the target, in thousandths.
     share: u64,
-    /// When the share ends, and the one that follows even if no tick comes.
-    next: Option<(Timestamp, u64)>,
     /// Whether retries go to the target, too.
     decided: bool,
     /// Versions that get no requests otherwise.
     excluded: Arc<BTreeSet<Arc<str>>>,
 }
 
-impl Split {
-    fn share_at(&self, now: Timestamp) -> u64 {
-        match self.next {
-            Some((at, share)) if now >= at => share.min(self.share),
-            _ => self.share,
-        }
-    }
-}
-
 #[derive(Debug, Default)]
 struct Table {
     built_at: Timestamp,
@@ -164,9 +153,8 @@
         let Some(split) = table.splits.get(service) else {
             return topology::VersionFilter::default();
         };
-        let now = self.inner.rt.now();
-        let fresh = now.since(table.built_at) <= MAX_AGE;
-        let chosen = match split.share_at(now) {
+        let fresh = self.inner.rt.now().since(table.built_at) <= MAX_AGE;
+        let chosen = match split.share {
             0 => false,
             ALL if split.decided && fresh => true,
             share => first && fresh && is_chosen(&split.name, request, share),
@@ -252,26 +240,13 @@
         due
     }
 
-    /// Returns how many instances with evidence about the move `name` write its phase before this
-    /// one; `None` if this one has no evidence.
-    pub(crate) fn write_rank(&self, name: &str) -> Option<usize> {
-        let state = self.state();
-        let report = state.reports.get(name)?;
-        let active = state.moves.get(name)?;
-        let own = format!("{name}/{}", self.inner.writer);
-        let order = |writer: &str| share::hash(writer, 0);
-        let before = active.merged.writers();
-        let before = before.filter(|writer| order(writer) < order(&own));
-        (!report.routes.is_empty()).then(|| before.count())
-    }
-
-    /// Returns the time until a stage of a move begins or ends; `None` if none will.
-    pub(crate) fn until_next_stage(&self) -> Option<Duration> {
-        let now = self.inner.rt.now();
+    /// Returns whether this instance has evidence of its own about the move `name`.
+    pub fn has_evidence(&self, name: &str) -> bool {
         let state = self.state();
-        let moves = state.moves.values().filter(|m| m.decided.is_none());
-        let times = moves.filter_map(|active| active.plan.until_next(now.since(active.start)));
-        times.min()
+        state
+            .reports
+            .get(name)
+            .is_some_and(|report| !report.routes.is_empty())
     }
 
     fn table(&self) -> Arc<Table> {
@@ -304,8 +279,6 @@
             active.plan.set_rate(elapsed, merged.rate());
             active.merged = merged;
             own.elapsed_ms = time::millis(elapsed);
-            active.switch(elapsed);
-            own.done |= active.proven;
             self.publish(active, &writer, own, now);
         }
         let elapsed = now.since(active.start);
@@ -364,7 +337,6 @@
                 target: Arc::clone(&active.order.version),
                 step,
                 share: if usable || active.switched { share } else { 0 },
-                next: active.share_after_test(now),
                 decided: active.switched || active.decided == Some(Phase::Done),
                 excluded: Arc::new(excluded),
             };
@@ -376,7 +348,6 @@
                 target: Arc::default(),
                 step: Step::None,
                 share: 0,
-                next: None,
                 decided: false,
                 excluded: Arc::new(rejected.clone()),
             });
--- a/crates/marigoldloom_moves/src/window/active_move.rs
+++ b/crates/marigoldloom_moves/src/window/active_move.rs
@@ -15,6 +15,14 @@
 /// Time between two evaluations of the evidence before the load test; then each tick evaluates it.
 const EVALUATION_PERIOD: Duration = Duration::from_millis(500);
 
+/// Time before the end of the window at which the move is declared done, so that requests to the
+/// old version have ended when its replicas stop.
+const DONE_MARGIN: Duration = Duration::from_millis(500);
+
+/// Time before the end of the window at which a version without proof is taken back. By then an
+/// instance that has switched has told the others.
+const UNPROVEN_MARGIN: Duration = Duration::from_millis(300);
+
 /// State of one move on this instance.
 pub(super) struct Move {
     pub(super) order: Order,
@@ -27,8 +35,6 @@
     pub(super) merged: MergedReports,
     /// Final phase, once it is decided.
     pub(super) decided: Option<Phase>,
-    /// Whether this instance has found the version proven.
-    pub(super) proven: bool,
     /// Whether all requests go to the new version.
     pub(super) switched: bool,
     pub(super) published_at: Option<Timestamp>,
@@ -56,7 +62,6 @@
             progress: Progress::default(),
             merged: MergedReports::default(),
             decided: None,
-            proven: false,
             switched: false,
             published_at: None,
             published_bad: 0,
@@ -127,15 +132,18 @@
     pub(super) fn fault(&self, elapsed: Duration, informed: bool) -> Option<String> {
         let stage = self.plan.stage(elapsed);
         let load = &self.progress.load;
-        let agreed = self.proven || self.switched;
-        let unproven = elapsed >= self.plan.unproven_at() && !agreed;
+        let unproven = elapsed + UNPROVEN_MARGIN >= self.plan.window() && !self.switched;
         match &self.progress.alarm {
             Some(alarm) => Some(alarm.to_string()),
             // The old version gets hardly any requests at full load that a common cause could show in.
-            None if stage >= Stage::Agreement && informed && self.progress.suspect => {
+            None if stage == Stage::Switch && informed && self.progress.suspect => {
                 Some("the new version is worse at full load".to_owned())
             }
-            None if stage >= Stage::Agreement && informed && !agreed && load.is_conclusive() => {
+            None if stage == Stage::Switch
+                && informed
+                && !self.switched
+                && load.is_conclusive() =>
+            {
                 Some("the load test doesn't prove the new version".to_owned())
             }
             None if unproven && informed => {
@@ -145,14 +153,11 @@
         }
     }
 
-    /// Sends all requests to a version that the load test has proven here or on another instance,
-    /// once that is due.
+    /// Sends all requests to a version that the load test has proven here or on another instance.
     pub(super) fn switch(&mut self, elapsed: Duration) {
-        let stage = self.plan.stage(elapsed);
-        let accepted = !self.progress.suspect && self.progress.load.is_accepted();
-        self.proven |= stage >= Stage::Agreement && accepted;
-        let due = stage == Stage::Switch && !self.switched && !self.progress.suspect;
-        if due && (self.proven || self.merged.is_done()) {
+        let proven = !self.progress.suspect && self.progress.load.is_accepted();
+        let due = self.plan.stage(elapsed) == Stage::Switch && !self.switched;
+        if due && (proven || self.merged.is_done()) {
             self.switched = true;
             tracing::info!(
                 service = %self.order.service,
@@ -181,7 +186,7 @@
             );
             return;
         }
-        if self.switched && elapsed >= self.plan.done_at() {
+        if self.switched && elapsed + DONE_MARGIN >= self.plan.window() {
             self.decided = Some(Phase::Done);
             self.log("version move complete", Phase::Done);
         }
@@ -208,13 +213,6 @@
         }
     }
 
-    /// Returns when the load test ends and the share of requests that follows, in thousandths; `None`
-    /// while there is no load test.
-    pub(super) fn share_after_test(&self, now: Timestamp) -> Option<(Timestamp, u64)> {
-        let testing = self.decided.is_none() && self.stage(now) == Stage::LoadTest;
-        testing.then(|| (self.start + self.plan.load_end(), self.plan.trial_share()))
-    }
-
     /// Returns the order with the phase that its status must state; `None` if it states that.
     pub(super) fn due_status(&self) -> Option<Order> {
         let phase = Some(self.decided.unwrap_or(Phase::Running));
