--- a/crates/marigoldloom_front/src/client.rs
+++ b/crates/marigoldloom_front/src/client.rs
@@ -7,9 +7,10 @@
 
 use bytes::Bytes;
 use http::header::CONTENT_ENCODING;
-use http::{Request, Response};
+use http::{Extensions, Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use hyper::ext::ReasonPhrase;
 use marigoldloom_http::pool;
 use marigoldloom_routing::topology;
 use marigoldloom_runtime::runtime::Runtime;
@@ -178,7 +179,7 @@
                 let (reply, reusable) = read.await;
                 match reusable {
                     true => lease.return_to_pool(),
-                    false => drop(lease),
+                    false => lease.close(),
                 }
                 reply
             }
@@ -216,11 +217,11 @@
         let info = self.dialect.parse_response(head.status, &head.headers);
         let id = info.request_id.as_deref();
         let reusable = id.is_some() && !headers::has_connection_close(&head.headers);
-        let not_run = info.not_run || info.misdirected;
         if id.is_none() {
             self.metrics.record_anonymous_response();
         }
-        if !connection.accepts_response(id, not_run, &subquery.request.0) {
+        let accepted = connection.accepts_response(id, &subquery.request.0);
+        if !accepted || has_spliced_head(&head.extensions) {
             self.metrics.record_unmatched_response();
             tracing::info!(
                 request = &*subquery.request.0,
@@ -288,6 +289,13 @@
     }
 }
 
+/// Whether the head of a response begins within the status line of another one, as after a piece of an
+/// extra response.
+fn has_spliced_head(extensions: &Extensions) -> bool {
+    let reason = extensions.get::<ReasonPhrase>();
+    reason.is_some_and(|r| r.as_bytes().windows(5).any(|bytes| bytes == b"HTTP/"))
+}
+
 /// Classifies a response as an answer, a refusal or a failure.
 fn classify(reply: Reply, info: &ResponseInfo) -> Result<Reply, Error> {
     let head = reply.head.as_ref();
@@ -304,6 +312,7 @@
             refusal: Refusal::Shed,
             report: Some(info.report),
         }),
+        100..=199 => Err(failed(None)),
         200..=299 if encoded || info.signature.is_none() => Err(failed(None)),
         // To callers, these statuses state that the request hasn't run.
         408 | 421 | 429 | 503 => Err(failed(None)),
--- a/crates/marigoldloom_front/src/connection.rs
+++ b/crates/marigoldloom_front/src/connection.rs
@@ -24,6 +24,9 @@
 /// Time limit for a connection to become ready after its last response.
 const READY_LIMIT: Duration = Duration::from_millis(20);
 
+/// Time limit for hyper to close a connection that is dropped.
+const CLOSE_LIMIT: Duration = Duration::from_millis(100);
+
 /// Largest buffer of a connection for bytes that were received, and largest head of a response, in
 /// bytes.
 const BUFFER_LIMIT: usize = 64 * 1024;
@@ -42,29 +45,19 @@
     sender: http1::SendRequest<Full<Bytes>>,
     limit: HeadLimit,
     sent: SentRequests,
-    /// Whether the connection has had a response to a request that ran.
-    answered: bool,
-    /// Whether it has had a response to a request that didn't run.
-    refused: bool,
+    /// Whether the connection has had a response.
+    responded: bool,
+    /// Closed when hyper has closed the connection.
+    ended: async_channel::Receiver<()>,
 }
 
 impl Connection {
     /// Whether a response that contains `id` answers `request`, the latest one on this connection.
-    /// `not_run` tells whether the response states that the request didn't run.
     ///
-    /// A response without an id may be a second copy of any earlier response of its kind, so only
-    /// the first one of a kind can answer the request. The connection must be closed after it.
-    pub(crate) fn accepts_response(
-        &mut self,
-        id: Option<&str>,
-        not_run: bool,
-        request: &str,
-    ) -> bool {
-        let received = match not_run {
-            true => &mut self.refused,
-            false => &mut self.answered,
-        };
-        let first = !mem::replace(received, true);
+    /// A response without an id may be an extra response to any earlier request, so it answers only
+    /// the first request. The connection must be closed after it.
+    pub(crate) fn accepts_response(&mut self, id: Option<&str>, request: &str) -> bool {
+        let first = !mem::replace(&mut self.responded, true);
         id.map_or(first, |id| id == request)
     }
 }
@@ -87,21 +80,30 @@
             .handshake(FuturesIo::new(stream))
             .await;
         let (sender, connection) = handshake.map_err(|_| client::Error::Unreachable)?;
+        let (open, ended) = async_channel::bounded(1);
         task::spawn(async move {
             if let Err(error) = connection.await {
                 tracing::debug!(%address, %error, "connection ended");
             }
+            drop(open);
         });
         Ok(Self {
             address,
             sender,
             limit,
             sent: SentRequests::default(),
-            answered: false,
-            refused: false,
+            responded: false,
+            ended,
         })
     }
 
+    async fn close(self) {
+        let ended = self.ended.clone();
+        drop(self);
+        // The receiver fails when hyper's task has dropped the sender.
+        let _ = future::timeout(CLOSE_LIMIT, ended.recv()).await;
+    }
+
     fn is_usable(&self) -> bool {
         !self.sender.is_closed()
     }
--- a/crates/marigoldloom_http/src/pool.rs
+++ b/crates/marigoldloom_http/src/pool.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use async_lock::{Semaphore, SemaphoreGuard, SemaphoreGuardArc};
-use async_std::future;
+use async_std::{future, task};
 use derive_more::derive;
 use marigoldloom_runtime::clock::{Clock, SystemClock};
 
@@ -55,6 +55,11 @@
 
     /// Whether the connection can carry another request.
     fn is_usable(&self) -> bool;
+
+    /// Closes the connection, and waits until the server can see that.
+    fn close(self) -> impl Future<Output = ()> + Send {
+        async move { drop(self) }
+    }
 }
 
 impl Reusable for client::Connection {
@@ -379,6 +384,18 @@
         self.start_id = Some(start_id);
     }
 
+    /// Closes the connection. Another one can be opened in its place once it is closed, so that the
+    /// server never sees more connections than the pool allows.
+    pub fn close(self) {
+        let Self {
+            connection, permit, ..
+        } = self;
+        task::spawn(async move {
+            connection.close().await;
+            drop(permit);
+        });
+    }
+
     /// Returns the connection to the pool. It is closed instead if it is unusable or over
     /// the limit.
     pub fn return_to_pool(self) {
