--- a/crates/marigoldloom_http/src/pool.rs
+++ b/crates/marigoldloom_http/src/pool.rs
@@ -56,7 +56,7 @@
     /// Whether the connection can carry another request.
     fn is_usable(&self) -> bool;
 
-    /// Closes the connection, and waits until the server can see that.
+    /// Closes the connection, and waits until it is closed on this side.
     fn close(self) -> impl Future<Output = ()> + Send {
         async move { drop(self) }
     }
@@ -384,8 +384,7 @@
         self.start_id = Some(start_id);
     }
 
-    /// Closes the connection. Another one can be opened in its place once it is closed, so that the
-    /// server never sees more connections than the pool allows.
+    /// Closes the connection. Another one can be opened in its place once it is closed on this side.
     pub fn close(self) {
         let Self {
             connection, permit, ..
