Add review case 7: memory grows with each route that was ever used

A latency tracker is kept for each pair of a shard's service and a route and never removed. After two changes of 350 routes over 20 shards each process passes its 260 MiB and is killed, again after each restart.

--- a/review/second/main.rs
+++ b/review/second/main.rs
@@ -11,6 +11,7 @@
 mod http;
 mod instance;
 mod json;
+mod memory;
 mod random;
 mod record;
 mod replica;
@@ -50,6 +51,7 @@
     record.say(&format!("case {case}, disruption {trouble}"));
     let outcome = match case {
         "twice" => twice::run(&temporary, &record, trouble),
+        "memory" => memory::run(&temporary, &record, trouble),
         _ => Err(io::Error::other("no such case")),
     };
     fs::remove_dir_all(&temporary)?;
