Add review case 8: saved strikes are not applied after a restart of all

Instances read the strikes against a crashing request from the store and pass them on, but don't apply them. After all processes were killed at once the request takes all replicas down again.

--- a/review/second/main.rs
+++ b/review/second/main.rs
@@ -8,6 +8,7 @@
 
 mod client;
 mod config;
+mod crash;
 mod http;
 mod instance;
 mod json;
@@ -51,6 +52,7 @@
     record.say(&format!("case {case}, disruption {trouble}"));
     let outcome = match case {
         "twice" => twice::run(&temporary, &record, trouble),
+        "crash" => crash::run(&temporary, &record, trouble),
         "memory" => memory::run(&temporary, &record, trouble),
         _ => Err(io::Error::other("no such case")),
     };
