--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-rustc --edition 2024 -O -o target/review-2/review-2 review/second/main.rs
+rustc --edition 2024 -O -o target/review-2/review-2 review/6/standin/main.rs
