--- a/crates/marigoldloom_catalog/src/catalog.rs
+++ b/crates/marigoldloom_catalog/src/catalog.rs
@@ -9,7 +9,7 @@
 
 use crate::configuration::Configuration;
 use crate::replica::Replica;
-use crate::source::{Kind, Record};
+use crate::source::{Kind, Listing, Record};
 use crate::view::{Inputs, ReplicaState, View};
 
 /// Time after an outage of the platform in which replicas whose records expired during the outage
@@ -81,16 +81,18 @@
         }
     }
 
-    /// Replaces all records of `kind` with `records`.
+    /// Replaces all records of `kind` with those of `listing`; sets only these if it is partial.
     pub fn replace(
         &mut self,
         kind: Kind,
-        records: Vec<(Arc<str>, Record)>,
+        listing: Listing,
         now: Timestamp,
         recovered_at: RecoveredAt,
     ) {
+        let records = listing.records;
         let names: BTreeSet<_> = records.iter().map(|(name, _)| Arc::clone(name)).collect();
         let removed: Vec<_> = match kind {
+            _ if listing.partial => Vec::new(),
             Kind::Configuration => Vec::new(),
             Kind::Replicas => not_listed(self.replicas.keys(), &names),
             Kind::Evacuations => not_listed(self.evacuated.iter(), &names),
--- a/crates/marigoldloom_catalog/src/feed.rs
+++ b/crates/marigoldloom_catalog/src/feed.rs
@@ -85,6 +85,8 @@
     oldest: Revision,
     /// Revision up to which all changes are known.
     newest: Revision,
+    /// Whether there may be records that were never listed.
+    partial: bool,
 }
 
 impl Feed {
@@ -134,6 +136,7 @@
             records: BTreeMap::new(),
             oldest: listing.revision,
             newest: listing.revision,
+            partial: false,
         });
         records.replace(listing);
         drop(state);
@@ -216,10 +219,9 @@
 
     fn replace(&mut self, listing: &Listing) {
         let listed: BTreeMap<_, _> = listing.records.iter().cloned().collect();
-        let unlisted = self
-            .records
-            .keys()
-            .filter(|name| !listed.contains_key(*name));
+        self.partial = listing.partial;
+        let unlisted = self.records.keys();
+        let unlisted = unlisted.filter(|name| !listing.partial && !listed.contains_key(*name));
         let unlisted: Vec<_> = unlisted.cloned().collect();
         for name in unlisted {
             self.set(&name, listing.revision, None);
@@ -251,7 +253,8 @@
             Batch::Listing(listing) => {
                 let present = self.records.values().filter(|(_, r)| r.is_some());
                 let same = |(n, r): &(Arc<str>, Record)| self.get(n) == Some(r);
-                listing.records.len() == present.count() && listing.records.iter().all(same)
+                let complete = listing.partial || listing.records.len() == present.count();
+                complete && listing.records.iter().all(same)
             }
             Batch::Changes(changes) => {
                 let mut changes = changes.changes.iter();
@@ -278,6 +281,7 @@
                 Some(Batch::Listing(Listing {
                     records: records.collect(),
                     revision: self.newest,
+                    partial: self.partial,
                 }))
             }
         }
--- a/crates/marigoldloom_catalog/src/follower.rs
+++ b/crates/marigoldloom_catalog/src/follower.rs
@@ -48,6 +48,9 @@
 /// well below the 3 s for which a replica that shuts down still serves requests.
 const REPLICA_BATCH_TIME: Duration = Duration::from_millis(300);
 
+/// Time after which a list that couldn't be read to its end is read again, once a watch has ended.
+const PARTIAL_PERIOD: Duration = Duration::from_secs(20);
+
 /// Time after the end of an outage from which it no longer explains expired records.
 const MAX_RECOVERY_AGE: Duration = Duration::from_secs(60);
 
@@ -320,19 +323,24 @@
         }
     }
 
-    /// Lists a kind and watches it; lists it again whenever the watch fails.
+    /// Lists a kind and watches it; lists it again whenever the watch fails, and at intervals if the
+    /// list couldn't be read to its end.
     async fn follow_kind(&self, kind: Kind) {
         loop {
             if kind != Kind::Configuration {
                 self.await_platform().await;
             }
             let listing = self.list(kind).await;
+            let (listed, partial) = (self.rt.now(), listing.partial);
             let mut since = listing.revision;
             self.replace(kind, listing);
             self.publish();
             while let Some(changes) = self.watch(kind, since).await {
                 since = since.max(changes.revision);
                 self.change(kind, changes);
+                if partial && self.rt.now().since(listed) >= PARTIAL_PERIOD {
+                    break;
+                }
                 // Replicas start and stop in groups; after a pause one watch reports several
                 // changes.
                 if kind == Kind::Replicas {
@@ -389,9 +397,7 @@
         self.update_state(|state, now| {
             let recovered_at = state.recovered_at;
             state.known.insert(kind, listing.revision);
-            state
-                .catalog
-                .replace(kind, listing.records, now, recovered_at);
+            state.catalog.replace(kind, listing, now, recovered_at);
             true
         });
     }
--- a/crates/marigoldloom_catalog/src/source.rs
+++ b/crates/marigoldloom_catalog/src/source.rs
@@ -83,6 +83,9 @@
     pub records: Vec<(Arc<str>, Record)>,
     /// Revision that a watch continues from; records may already include later changes.
     pub revision: Revision,
+    /// Whether the list couldn't be read to its end. Records that aren't in it stay as they are.
+    #[serde(default)]
+    pub partial: bool,
 }
 
 /// The name of a changed record and its new value, which is `None` if the record was removed.
--- a/crates/marigoldloom_catalog/tests/follower.rs
+++ b/crates/marigoldloom_catalog/tests/follower.rs
@@ -107,6 +107,30 @@
     vec!["r1".to_owned()]
 }
 
+/// Guards against replicas that are dropped because a list of the platform ends early, and against such
+/// a list that is never read again.
+#[test]
+fn records_missing_in_a_partial_list_stay_in_use() {
+    follow(|rt, platform, latest| async move {
+        platform.with_state(|state| {
+            state.partial = true;
+            state.watch_failures += 1;
+        });
+        rt.sleep(Duration::from_secs(1)).await;
+        let lists = platform.with_state(|state| state.list_calls);
+        assert_eq!(in_force(&latest), Some((3, both_replicas())));
+        platform.set(Kind::Replicas, "r2", None);
+        rt.sleep(Duration::from_secs(1)).await;
+        assert_eq!(in_force(&latest), Some((3, first_replica())));
+        rt.sleep(Duration::from_secs(60)).await;
+        let again = platform.with_state(|state| state.list_calls) - lists;
+        assert!(
+            (2 * 4..=4 * 4).contains(&again),
+            "{again} lists in a minute"
+        );
+    });
+}
+
 /// Guards against changes that take effect late, and against new requests to draining replicas and
 /// evacuated failure domains.
 #[test]
--- a/crates/marigoldloom_catalog/tests/relay.rs
+++ b/crates/marigoldloom_catalog/tests/relay.rs
@@ -466,6 +466,7 @@
     Listing {
         records: records.collect(),
         revision: Revision(revision),
+        partial: false,
     }
 }
 
--- a/crates/marigoldloom_catalog/tests/support/mod.rs
+++ b/crates/marigoldloom_catalog/tests/support/mod.rs
@@ -40,6 +40,8 @@
 pub(crate) struct State {
     /// Whether all calls fail.
     pub(crate) unavailable: bool,
+    /// Whether lists end after their first record.
+    pub(crate) partial: bool,
     /// Whether watches report no changes, as if the platform had lost its history.
     pub(crate) changes_withheld: bool,
     /// Each increment fails the watches that are open at the time.
@@ -117,9 +119,12 @@
         self.with_state(|state| state.list_calls += 1);
         let list = |state: &mut State| {
             let records = state.records.iter().filter(|((k, _), _)| *k == kind);
+            let limit = if state.partial { 1 } else { usize::MAX };
+            let records = records.take(limit);
             Listing {
                 records: records.map(|((_, n), r)| (n.clone(), r.clone())).collect(),
                 revision: Revision(state.revision),
+                partial: state.partial,
             }
         };
         self.answer(list).await
--- a/crates/marigoldloom_standin/src/users/store.rs
+++ b/crates/marigoldloom_standin/src/users/store.rs
@@ -11,7 +11,8 @@
 use marigoldloom_http::server::{self, Handler};
 use serde_json::{Value, json};
 
-/// Greatest number of objects in one list response; the caller asks for further pages.
+/// Greatest number of objects in one list response unless [`Store::set_page_size`] sets another one;
+/// the caller asks for further pages.
 const PAGE_SIZE: usize = 50;
 
 /// Interval at which a waiting watch checks for changes.
@@ -35,9 +36,20 @@
     state: Arc<Mutex<State>>,
 }
 
-#[derive(Default)]
+/// Which page of a list the store returns.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Paging {
+    /// The one after the name that the caller gives.
+    #[default]
+    Normal,
+    /// Always the first one, with the statement that there are more.
+    Stalled,
+}
+
 struct State {
     mode: Mode,
+    paging: Paging,
+    page_size: usize,
     revision: u64,
     objects: BTreeMap<(String, String), Value>,
     /// Maps an address to the one that readers get in its place.
@@ -52,6 +64,24 @@
     reads: BTreeMap<String, u64>,
 }
 
+impl Default for State {
+    fn default() -> Self {
+        Self {
+            mode: Mode::default(),
+            paging: Paging::default(),
+            page_size: PAGE_SIZE,
+            revision: 0,
+            objects: BTreeMap::new(),
+            redirects: BTreeMap::new(),
+            raw: BTreeMap::new(),
+            events: Vec::new(),
+            compacted: 0,
+            calls: 0,
+            reads: BTreeMap::new(),
+        }
+    }
+}
+
 struct Event {
     revision: u64,
     kind: String,
@@ -128,6 +158,16 @@
         self.state().mode = mode;
     }
 
+    /// Sets the greatest number of objects in one list response.
+    pub fn set_page_size(&self, size: usize) {
+        self.state().page_size = size;
+    }
+
+    /// Sets which page of a list the store returns.
+    pub fn set_paging(&self, paging: Paging) {
+        self.state().paging = paging;
+    }
+
     /// Drops all events so far; a watch since an earlier revision then gets status 410.
     pub fn compact(&self) {
         let mut state = self.state();
@@ -231,13 +271,14 @@
     }
 
     fn list(&self, kind: &str, after: Option<&str>) -> Response {
+        let after = after.filter(|_| self.paging == Paging::Normal);
         let of_kind = self.objects.iter().filter(|((k, _), _)| k == kind);
         let names = of_kind.filter(|((_, name), _)| after.is_none_or(|a| name.as_str() > a));
         let mut items: Vec<_> = names
             .map(|(_, object)| self.with_redirects(object))
             .collect();
-        let more = items.len() > PAGE_SIZE;
-        items.truncate(PAGE_SIZE);
+        let more = items.len() > self.page_size || self.paging == Paging::Stalled;
+        items.truncate(self.page_size);
         let body = json!({"items": items, "HasMore": more, "AsOf": self.revision});
         self.respond(&body)
     }
