Bound the memory for latencies of routes

Histograms hold only buckets that have samples, with the same quantiles; a service tracks the 64 routes used last. By the same cause the states of services that are gone and the ramps of upstreams that are gone are dropped, the former after a minute so that a budget doesn't begin anew.

--- a/crates/marigoldloom_limits/src/cold.rs
+++ b/crates/marigoldloom_limits/src/cold.rs
@@ -93,6 +93,12 @@
         limits.remove(upstream);
     }
 
+    /// Forgets the upstreams for which `keep` returns false.
+    pub fn retain(&self, keep: impl Fn(&str) -> bool) {
+        let mut limits = self.limits.lock().unwrap_or_else(PoisonError::into_inner);
+        limits.retain(|upstream, _| keep(upstream));
+    }
+
     fn limit(&self, upstream: &str, slots: u32) -> u32 {
         let limits = self.limits.lock().unwrap_or_else(PoisonError::into_inner);
         limits.get(upstream).copied().unwrap_or(1).min(slots)
--- a/crates/marigoldloom_query/src/engine.rs
+++ b/crates/marigoldloom_query/src/engine.rs
@@ -227,6 +227,11 @@
         self.core.service(service).budget.attempts()
     }
 
+    /// Returns the number of services whose state is kept, e.g. their budgets.
+    pub fn service_count(&self) -> usize {
+        self.core.service_count()
+    }
+
     /// Returns the time until each shard of `service` has a replica that takes requests, as far as
     /// its replicas have said; zero if that holds now.
     pub fn pause_of(&self, service: &str) -> Duration {
--- a/crates/marigoldloom_query/src/state.rs
+++ b/crates/marigoldloom_query/src/state.rs
@@ -31,6 +31,10 @@
 /// thousandths.
 const FULL_SHARE: u32 = 1_000;
 
+/// Time for which the state of a service is kept once the topology no longer names it: it may return
+/// soon, and its budget would begin anew.
+const SERVICE_RETENTION: Duration = Duration::from_secs(60);
+
 /// Minimum time between two reports that the hedge budget of a service is spent.
 const STOP_REPORT_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -67,6 +71,8 @@
     last_crash: Mutex<Option<Timestamp>>,
     /// When it was last reported that the hedge budget is spent.
     stop_reported: Mutex<Option<Timestamp>>,
+    /// When the topology last named the service, or when it was first used.
+    named_at: AtomicU64,
     /// Number of instances that send to the service's upstreams.
     sender_count: AtomicU32,
     /// This instance's share of the request rate that a cold upstream accepts, in thousandths.
@@ -118,6 +124,8 @@
     pub(crate) fn apply(&self, topology: Arc<topology::Topology>) {
         let cold_starts = self.health.update(self.rt.now(), &topology);
         self.pacer.retain(|name| topology.has_pace(name));
+        self.ramps.retain(|name| self.health.get(name).is_some());
+        self.forget_services(&topology);
         let mut current = self
             .topology
             .write()
@@ -135,6 +143,30 @@
         }
     }
 
+    /// Drops the state of services that no request uses and the topology hasn't named for
+    /// [`SERVICE_RETENTION`].
+    fn forget_services(&self, topology: &topology::Topology) {
+        let now = self.rt.now();
+        let mut services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
+        for (key, view) in topology.services() {
+            for name in view.shard_services().iter().chain([key]) {
+                if let Some(service) = services.get(name) {
+                    service.named_at.store(now.as_nanos(), Ordering::Relaxed);
+                }
+            }
+        }
+        services.retain(|_, service| {
+            let named_at = Timestamp::from_nanos(service.named_at.load(Ordering::Relaxed));
+            now.since(named_at) < SERVICE_RETENTION || Arc::strong_count(service) > 1
+        });
+    }
+
+    /// Number of services whose state is kept.
+    pub(crate) fn service_count(&self) -> usize {
+        let services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
+        services.len()
+    }
+
     /// Records that another instance brought the process `start_id` of `upstream` out of cold
     /// start. `None` withdraws all such reports for the upstream.
     pub(crate) fn set_warm_report(&self, upstream: &str, start_id: Option<u64>) {
@@ -189,6 +221,7 @@
                 latencies: quantile::RouteTrackers::new(self.settings.quantile),
                 last_crash: Mutex::default(),
                 stop_reported: Mutex::default(),
+                named_at: AtomicU64::new(self.rt.now().as_nanos()),
                 sender_count: AtomicU32::new(1),
                 cold_share: AtomicU32::new(FULL_SHARE),
             })
--- a/crates/marigoldloom_routing/src/quantile.rs
+++ b/crates/marigoldloom_routing/src/quantile.rs
@@ -5,21 +5,25 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use hdrhistogram::Histogram;
 use marigoldloom_runtime::time;
 
+mod histogram;
+
+use histogram::Histogram;
+
 /// Length of each of the two windows. A quantile covers the current and the previous one.
 const WINDOW: Duration = Duration::from_secs(10);
 
 /// Minimum age of a computed quantile before it is computed again.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Maximum latency that the histograms distinguish, in microseconds.
-const MAX_LATENCY_US: u64 = 60_000_000;
-
 /// Number of samples below which no quantile is returned.
 const MIN_SAMPLES: u64 = 20;
 
+/// Number of routes of a service whose latencies are tracked: those that were used last. With more
+/// routes in use, few of them reach [`MIN_SAMPLES`].
+const MAX_ROUTES: usize = 64;
+
 /// Tracks one quantile of a series of latencies.
 #[derive(Debug)]
 pub struct Tracker {
@@ -27,10 +31,10 @@
     state: Mutex<State>,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct State {
-    current: Histogram<u32>,
-    previous: Histogram<u32>,
+    current: Histogram,
+    previous: Histogram,
     rotated_at: time::Timestamp,
     evaluated_at: time::Timestamp,
     /// Quantile at `evaluated_at`; none if there were too few samples.
@@ -42,13 +46,7 @@
     pub fn new(quantile: f64) -> Self {
         Self {
             quantile,
-            state: Mutex::new(State {
-                current: histogram(),
-                previous: histogram(),
-                rotated_at: time::Timestamp::ZERO,
-                evaluated_at: time::Timestamp::ZERO,
-                value: None,
-            }),
+            state: Mutex::default(),
         }
     }
 
@@ -61,8 +59,7 @@
             state.current.clear();
             state.rotated_at = now;
         }
-        let micros = u64::try_from(latency.as_micros()).unwrap_or(u64::MAX);
-        state.current.saturating_record(micros.max(1));
+        state.current.record(latency);
     }
 
     /// Returns the quantile, or none if there are too few samples.
@@ -78,24 +75,29 @@
 
 impl State {
     fn evaluate(&self, quantile: f64) -> Option<Duration> {
-        let mut merged = self.previous.clone();
-        merged.add(&self.current).ok()?;
-        match merged.len() {
-            n if n < MIN_SAMPLES => None,
-            _ => Some(Duration::from_micros(merged.value_at_quantile(quantile))),
-        }
+        let count = self.previous.count() + self.current.count();
+        (count >= MIN_SAMPLES).then(|| histogram::quantile(&self.previous, &self.current, quantile))
     }
 }
 
-fn histogram() -> Histogram<u32> {
-    Histogram::new_with_bounds(1, MAX_LATENCY_US, 2).expect("the bounds are constants in range")
-}
-
-/// The quantile trackers of all routes, by route.
+/// The quantile trackers of the routes of a service that were used last.
 #[derive(Debug)]
 pub struct RouteTrackers {
     quantile: f64,
-    trackers: Mutex<BTreeMap<Arc<str>, Arc<Tracker>>>,
+    routes: Mutex<Routes>,
+}
+
+#[derive(Debug, Default)]
+struct Routes {
+    trackers: BTreeMap<Arc<str>, RouteTracker>,
+    /// Number of lookups so far, by which the last uses are ordered.
+    lookups: u64,
+}
+
+#[derive(Debug)]
+struct RouteTracker {
+    tracker: Arc<Tracker>,
+    last_lookup: u64,
 }
 
 impl RouteTrackers {
@@ -103,20 +105,31 @@
     pub fn new(quantile: f64) -> Self {
         Self {
             quantile,
-            trackers: Mutex::default(),
+            routes: Mutex::default(),
         }
     }
 
-    /// Returns the tracker of `route`, and creates it on first use.
+    /// Returns the tracker of `route`. Creates it if the route wasn't among those used last; another
+    /// one is forgotten if there are too many.
     pub fn tracker(&self, route: &str) -> Arc<Tracker> {
-        let mut trackers = self.trackers.lock().unwrap_or_else(PoisonError::into_inner);
-        match trackers.get(route) {
-            Some(tracker) => Arc::clone(tracker),
-            None => {
-                let tracker = Arc::new(Tracker::new(self.quantile));
-                trackers.insert(Arc::from(route), Arc::clone(&tracker));
-                tracker
-            }
+        let mut routes = self.routes.lock().unwrap_or_else(PoisonError::into_inner);
+        let routes = &mut *routes;
+        routes.lookups += 1;
+        if let Some(known) = routes.trackers.get_mut(route) {
+            known.last_lookup = routes.lookups;
+            return Arc::clone(&known.tracker);
+        }
+        if routes.trackers.len() >= MAX_ROUTES {
+            let oldest = routes.trackers.iter().min_by_key(|(_, t)| t.last_lookup);
+            let oldest = oldest.map(|(route, _)| Arc::clone(route));
+            oldest.map(|route| routes.trackers.remove(&route));
         }
+        let tracker = Arc::new(Tracker::new(self.quantile));
+        let known = RouteTracker {
+            tracker: Arc::clone(&tracker),
+            last_lookup: routes.lookups,
+        };
+        routes.trackers.insert(Arc::from(route), known);
+        tracker
     }
 }
