Apply saved strikes where they are read

Instances that read the saved strikes merged them into the shared map as if they had written them, and only entries of other instances are applied; the same entry from another instance isn't newer and wasn't applied either.

An entry that is read from the platform is now applied as well as passed on, at the start and in a partition.

saved_strikes_hold_after_the_loss_of_all_instances (two and four real processes) failed before with four crashes after the loss of two instances.

--- a/crates/marigoldloom_front/src/exchange.rs
+++ b/crates/marigoldloom_front/src/exchange.rs
@@ -74,7 +74,7 @@
     others: Mutex<Vec<SocketAddr>>,
     /// Entries that wait to be pushed.
     outbox: Mutex<BTreeSet<Key>>,
-    /// Entries of other instances that were merged and are not applied yet.
+    /// Entries of other instances or from the platform that were merged and are not applied yet.
     accepted: (async_channel::Sender<Entry>, async_channel::Receiver<Entry>),
     published: event_listener::Event,
     members_changed: event_listener::Event,
@@ -127,8 +127,9 @@
         self.inner.members_changed.notify(usize::MAX);
     }
 
-    /// Pushes published entries and pulls missing ones. `apply` gets each entry that another
-    /// instance wrote and that replaced an older one here. Runs until it is dropped.
+    /// Pushes published entries and pulls missing ones. `apply` gets each entry that another instance
+    /// wrote, or that was read from the platform, and that replaced an older one here. Runs until it is
+    /// dropped.
     pub(crate) async fn run(self, apply: impl Fn(&Entry)) {
         let applied = async {
             while let Ok(entry) = self.inner.accepted.1.recv().await {
@@ -138,6 +139,28 @@
         future::join3(self.push_all(), self.pull_all(), applied).await;
     }
 
+    /// Merges an entry that was read from the platform. Unlike one that this instance publishes, it is
+    /// applied here, and it is passed on in case the others can't read the platform.
+    pub(crate) fn restore(&self, entry: Entry) {
+        if self.merge_own(entry.clone()) {
+            // The receiver lives as long as the map.
+            let _ = self.inner.accepted.0.try_send(entry);
+        }
+    }
+
+    /// Merges an entry into the map and pushes it to the others. Returns false if it isn't newer than
+    /// the one in the map.
+    fn merge_own(&self, entry: Entry) -> bool {
+        let key = (entry.space, Arc::clone(&entry.name));
+        let now = self.inner.rt.wall();
+        let accepted = self.map().merge(entry, now) == Outcome::Accepted;
+        if accepted {
+            self.outbox().insert(key);
+            self.inner.published.notify(usize::MAX);
+        }
+        accepted
+    }
+
     /// Answers a message of another instance.
     pub(crate) async fn answer(&self, body: Incoming) -> Response<Full<Bytes>> {
         let Some(message) = peer_client::read::<Message>(body, MAX_MESSAGE).await else {
@@ -306,12 +329,7 @@
 
 impl<R: Runtime> Exchange for PeerExchange<R> {
     fn publish(&self, entry: Entry) {
-        let key = (entry.space, Arc::clone(&entry.name));
-        let now = self.inner.rt.wall();
-        if self.map().merge(entry, now) == Outcome::Accepted {
-            self.outbox().insert(key);
-            self.inner.published.notify(usize::MAX);
-        }
+        self.merge_own(entry);
     }
 
     fn scan(&self, space: Space, prefix: &str) -> Vec<Entry> {
--- a/crates/marigoldloom_front/src/strikes.rs
+++ b/crates/marigoldloom_front/src/strikes.rs
@@ -10,7 +10,7 @@
 use marigoldloom_catalog::relay::{Role, Roster};
 use marigoldloom_catalog::source::{SavedEntry, Source};
 use marigoldloom_limits::fingerprint::{self, Fingerprint, Silence, Strikes};
-use marigoldloom_peers::exchange::{Entry, Exchange, Space};
+use marigoldloom_peers::exchange::{Entry, Space};
 use marigoldloom_query::hooks::StrikeChange;
 use marigoldloom_runtime::runtime::{self, Runtime};
 
@@ -168,17 +168,22 @@
             Err(_) => back_off(rt, &mut attempt).await,
         }
     };
+    let mut restored = 0;
     for SavedEntry { name, content } in saved {
         let entry = serde_json::from_str::<Entry>(&content).ok();
         let live = |e: &Entry| e.expires.is_some_and(|at| at > rt.wall());
         match entry.filter(live) {
-            Some(entry) => exchange.publish(entry),
+            Some(entry) => {
+                restored += 1;
+                exchange.restore(entry);
+            }
             None => {
                 let removed = source.remove_entry(&name).await;
                 tracing::info!(%name, ok = removed.is_ok(), "expired strikes removed");
             }
         }
     }
+    tracing::info!(requests = restored, "strikes read from the platform");
 }
 
 async fn back_off(rt: &impl Runtime, attempt: &mut u32) {
