Take a response with an invalid status for none

A response whose status isn't from 100 to 599 closes its connection and counts as lost, from replicas, home instances and in messages between instances.

--- a/crates/marigoldloom_front/src/client.rs
+++ b/crates/marigoldloom_front/src/client.rs
@@ -19,7 +19,7 @@
 use marigoldloom_upstream::upstream::{self, Error, Refusal, Target};
 
 use crate::body::{self, Memory};
-use crate::connection::{self, Connection};
+use crate::connection::{self, Connection, LOGGED_ID_LEN};
 use crate::dialect::{Dialect, ResponseInfo};
 use crate::headers;
 
@@ -30,9 +30,6 @@
 /// connections responds within a round trip between regions, 40 ms.
 const LOSS_CHECK_LIMIT: Duration = Duration::from_millis(100);
 
-/// Largest number of characters of a received id in a log line.
-const LOGGED_ID_LEN: usize = 64;
-
 /// Limits of the client.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Settings {
--- a/crates/marigoldloom_front/src/connection.rs
+++ b/crates/marigoldloom_front/src/connection.rs
@@ -2,6 +2,7 @@
 
 use std::mem;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use async_std::{future, task};
@@ -35,6 +36,12 @@
 /// may be among them.
 const HEAD_BYTES: usize = 4 * BUFFER_LIMIT;
 
+/// Valid statuses of responses. hyper rejects lower numbers only.
+const STATUSES: RangeInclusive<u16> = 100..=599;
+
+/// Largest number of characters of a received id in a log line.
+pub(crate) const LOGGED_ID_LEN: usize = 64;
+
 /// A request stops waiting for a connection this long before its deadline, so that it fails as
 /// unsent rather than with an unknown outcome.
 const UNSENT_MARGIN: Duration = Duration::from_millis(5);
@@ -157,6 +164,15 @@
         }
         connection.limit.begin(HEAD_BYTES);
         match connection.sender.try_send_request(request).await {
+            Ok(response) if !STATUSES.contains(&response.status().as_u16()) => {
+                tracing::info!(
+                    request = id.map(|id| id.chars().take(LOGGED_ID_LEN).collect::<String>()),
+                    upstream = %connection.address,
+                    status = response.status().as_u16(),
+                    "response with an invalid status"
+                );
+                return Err(Error::Lost);
+            }
             Ok(response) => {
                 connection.limit.end();
                 return Ok((response, lease));
