Start while an address is in use

An instance ended at its start when another process used one of its addresses (FAULT, "didn't start"; reproduced with real processes): the port of metrics is fixed, so that a second instance on the same IP address always ended, and an instance ended if its last process still held a port.

Addresses are bound before the instance registers or handles signals, and tried again for 10 s while they are in use. Metrics are served once their address is free.

instance_starts_while_an_address_is_in_use failed before ("callers: the process has ended", "metrics, for good: ...").

--- a/crates/marigoldloom_front/src/instance.rs
+++ b/crates/marigoldloom_front/src/instance.rs
@@ -1,11 +1,12 @@
 //! One instance of the front end: follows the platform's records, serves callers and shuts down
 //! on a signal.
 
-use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
+use std::{io, mem};
 
+use async_std::net::TcpListener;
 use derive_more::derive;
 use futures::StreamExt;
 use marigoldloom_catalog::catalog::Place;
@@ -37,7 +38,7 @@
 use crate::exchange::PeerExchange;
 use crate::front::{self, Front};
 use crate::homes::{self, Homes};
-use crate::listener::{self, Handler, Stop};
+use crate::listener::{self, Stop};
 use crate::moves::{self, Moves, Versions};
 use crate::records::Peers;
 use crate::sharing::Sharing;
@@ -53,6 +54,16 @@
 /// Part of [`Settings::grace`] that is reserved for the exit of the process.
 const EXIT_MARGIN: Duration = Duration::from_millis(300);
 
+/// Longest time that an instance waits at its start for an address that is in use: longer than
+/// platforms let a process run on after a stop signal.
+const BIND_LIMIT: Duration = Duration::from_secs(10);
+
+/// Pause before such an address is tried again.
+const BIND_PAUSE: Duration = Duration::from_millis(50);
+
+/// Pause before the address for metrics is tried again.
+const METRICS_PAUSE: Duration = Duration::from_secs(5);
+
 /// Interval for reporting log lines that were dropped.
 const DROPPED_PERIOD: Duration = Duration::from_secs(10);
 
@@ -130,6 +141,10 @@
     dropped: impl Fn() -> DroppedLines + Send + 'static,
 ) -> Result<(), Error> {
     let rt = AsyncStd::new();
+    // Until it serves its addresses, the instance neither registers nor handles signals.
+    let peers = bind(&rt, settings.peer_address).await?;
+    let callers = bind(&rt, settings.caller_address).await?;
+    let checks = bind(&rt, settings.readiness_address).await?;
     rt.spawn(rt.watch_suspensions());
     let signals = Signals::new([signal::SIGTERM, signal::SIGINT, signal::SIGHUP]);
     let signals = signals.map_err(Error::Signals)?;
@@ -198,20 +213,15 @@
         drain: stop.drain.clone(),
         margin: front::objective_margin(settings.capacity),
     });
-    bind(settings.peer_address, front.for_peers(), stop.clone()).await?;
-    bind(settings.caller_address, front, stop.clone()).await?;
+    listener::serve(peers, front.for_peers(), stop.clone());
+    listener::serve(callers, front, stop.clone());
     let readiness = ReadinessEndpoint {
         path: settings.readiness_path,
         latest,
         closing: stop.closing.clone(),
     };
-    bind(settings.readiness_address, readiness, Stop::default()).await?;
-    bind(
-        settings.metrics_address,
-        MetricsEndpoint(metrics),
-        Stop::default(),
-    )
-    .await?;
+    listener::serve(checks, readiness, Stop::default());
+    rt.spawn(serve_metrics(rt, settings.metrics_address, metrics));
     rt.spawn(report_dropped(rt, dropped));
     tracing::info!(
         callers = %settings.caller_address,
@@ -331,9 +341,40 @@
     }
 }
 
-async fn bind(address: SocketAddr, handler: impl Handler, stop: Stop) -> Result<(), Error> {
-    let bound = listener::bind(address, handler, stop).await;
-    bound.map_err(|error| Error::Bind { address, error })
+/// Listens on `address`. While another process uses it, as the instance's last one may until it has
+/// ended, tries again for [`BIND_LIMIT`].
+async fn bind(rt: &impl Runtime, address: SocketAddr) -> Result<TcpListener, Error> {
+    let end = rt.now() + BIND_LIMIT;
+    let mut reported = false;
+    loop {
+        match listener::bind(address).await {
+            Ok(listener) => return Ok(listener),
+            Err(error) if error.kind() == io::ErrorKind::AddrInUse && rt.now() < end => {
+                if !mem::replace(&mut reported, true) {
+                    tracing::warn!(%address, "the address is in use; waiting for it");
+                }
+                rt.sleep(BIND_PAUSE).await;
+            }
+            Err(error) => return Err(Error::Bind { address, error }),
+        }
+    }
+}
+
+/// Serves metrics once `address` can be bound. The instance works without them.
+async fn serve_metrics(rt: impl Runtime, address: SocketAddr, metrics: Metrics) {
+    let mut reported = false;
+    loop {
+        match listener::bind(address).await {
+            Ok(listener) => {
+                return listener::serve(listener, MetricsEndpoint(metrics), Stop::default());
+            }
+            Err(error) if !mem::replace(&mut reported, true) => {
+                tracing::warn!(%address, %error, "metrics aren't served yet");
+            }
+            Err(_) => {}
+        }
+        rt.sleep(METRICS_PAUSE).await;
+    }
 }
 
 /// Waits for a stop signal. Meanwhile calls `reload` on each SIGHUP and at regular intervals.
--- a/crates/marigoldloom_front/src/listener.rs
+++ b/crates/marigoldloom_front/src/listener.rs
@@ -94,13 +94,17 @@
     }
 }
 
-/// Listens on `address` and serves until `stop` is used.
+/// Listens on `address`.
 ///
 /// # Errors
 ///
 /// The error of the operating system if the address can't be bound.
-pub async fn bind(address: SocketAddr, handler: impl Handler, stop: Stop) -> io::Result<()> {
-    let listener = TcpListener::bind(address).await?;
+pub async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    TcpListener::bind(address).await
+}
+
+/// Serves the connections of `listener` until `stop` is used.
+pub fn serve(listener: TcpListener, handler: impl Handler, stop: Stop) {
     let listening = stop.count();
     task::spawn(async move {
         let accepting = pin::pin!(accept(&listener, &handler, &stop));
@@ -108,18 +112,27 @@
         future::select(accepting, stopped).await;
         // Connections that are left in the accept queue would be reset.
         while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
-            task::spawn(serve(stream, handler.clone(), stop.clone(), stop.count()));
+            task::spawn(serve_connection(
+                stream,
+                handler.clone(),
+                stop.clone(),
+                stop.count(),
+            ));
         }
         drop(listening);
     });
-    Ok(())
 }
 
 async fn accept(listener: &TcpListener, handler: &impl Handler, stop: &Stop) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                task::spawn(serve(stream, handler.clone(), stop.clone(), stop.count()));
+                task::spawn(serve_connection(
+                    stream,
+                    handler.clone(),
+                    stop.clone(),
+                    stop.count(),
+                ));
             }
             Err(error) => {
                 tracing::warn!(%error, "connection not accepted");
@@ -129,7 +142,7 @@
     }
 }
 
-async fn serve(stream: TcpStream, handler: impl Handler, stop: Stop, _counted: Counted) {
+async fn serve_connection(stream: TcpStream, handler: impl Handler, stop: Stop, _counted: Counted) {
     if let Err(error) = stream.set_nodelay(true) {
         tracing::debug!(%error, "connection ended before it was served");
         return;
