--- a/crates/marigoldloom_front/src/body.rs
+++ b/crates/marigoldloom_front/src/body.rs
@@ -87,14 +87,26 @@
     }
 }
 
-/// A buffer whose capacity is counted in [`Memory`] until it is dropped.
-struct Buffer<'a> {
+/// Bytes that are counted in [`Memory`] until this is dropped.
+#[derive(Debug)]
+pub(crate) struct Counted {
+    memory: Memory,
+    bytes: usize,
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.memory.give_back(self.bytes);
+    }
+}
+
+/// A buffer whose capacity is counted.
+struct Buffer {
     bytes: Vec<u8>,
-    memory: &'a Memory,
-    counted: usize,
+    counted: Counted,
 }
 
-impl Buffer<'_> {
+impl Buffer {
     /// Appends `data`, up to `limit` bytes in all.
     fn push(&mut self, data: &[u8], limit: usize) -> Result<(), Error> {
         let needed = self.bytes.len() + data.len();
@@ -103,10 +115,10 @@
         }
         if needed > self.bytes.capacity() {
             let capacity = needed.max(2 * self.bytes.capacity()).min(limit);
-            let added = capacity.saturating_sub(UNCOUNTED) - self.counted;
-            let taken = self.memory.take(added);
+            let added = capacity.saturating_sub(UNCOUNTED) - self.counted.bytes;
+            let taken = self.counted.memory.take(added);
             taken.map_err(|limit| Error::NoMemory { limit })?;
-            self.counted += added;
+            self.counted.bytes += added;
             self.bytes.reserve_exact(capacity - self.bytes.len());
         }
         self.bytes.extend_from_slice(data);
@@ -114,25 +126,32 @@
     }
 }
 
-impl Drop for Buffer<'_> {
-    fn drop(&mut self) {
-        self.memory.give_back(self.counted);
-    }
+/// Reads a whole body of at most `limit` bytes. While it is read, it uses `memory`.
+pub(crate) async fn read(body: Incoming, limit: usize, memory: &Memory) -> Result<Vec<u8>, Error> {
+    let (bytes, _counted) = read_counted(body, limit, memory).await?;
+    Ok(bytes)
 }
 
-/// Reads a whole body of at most `limit` bytes. While it is read, it uses `memory`.
+/// Reads a whole body of at most `limit` bytes. It uses `memory` until what is returned beside it is
+/// dropped.
 ///
 /// The data is copied: pieces of a chunked body may be a byte long, and each one would keep the
 /// buffer that it was received in.
-pub(crate) async fn read(body: Incoming, limit: usize, memory: &Memory) -> Result<Vec<u8>, Error> {
+pub(crate) async fn read_counted(
+    body: Incoming,
+    limit: usize,
+    memory: &Memory,
+) -> Result<(Vec<u8>, Counted), Error> {
     let length = body.size_hint().lower();
     if length > limit as u64 {
         return Err(Error::TooLong { limit });
     }
     let mut buffer = Buffer {
         bytes: Vec::new(),
-        memory,
-        counted: 0,
+        counted: Counted {
+            memory: memory.clone(),
+            bytes: 0,
+        },
     };
     let mut body = pin::pin!(body);
     while let Some(frame) = body.frame().await {
@@ -141,5 +160,5 @@
             buffer.push(data, limit)?;
         }
     }
-    Ok(std::mem::take(&mut buffer.bytes))
+    Ok((buffer.bytes, buffer.counted))
 }
--- a/crates/marigoldloom_front/src/front.rs
+++ b/crates/marigoldloom_front/src/front.rs
@@ -28,7 +28,7 @@
 use marigoldloom_upstream::upstream::Upstream;
 use xxhash_rust::xxh3;
 
-use crate::body::{self, Memory};
+use crate::body::{self, Counted, Memory};
 use crate::dialect::{Caller, Dialect};
 use crate::drain::Drain;
 use crate::exchange::{self, PeerExchange};
@@ -77,6 +77,8 @@
     pub(crate) exchange: PeerExchange<R>,
     pub(crate) metrics: Metrics,
     pub(crate) drain: Drain,
+    /// Memory for the bodies of requests.
+    pub(crate) memory: Memory,
     /// Part of a request's latency objective that is reserved for the time before it is routed and
     /// after it is answered.
     pub(crate) margin: Duration,
@@ -110,6 +112,8 @@
     route: Arc<Route>,
     call: Arc<Call>,
     body: Arc<[u8]>,
+    /// Memory of the body.
+    _counted: Counted,
 }
 
 impl<R: Runtime, U: Upstream, H: Hooks, D: Dialect> Front<R, U, H, D> {
@@ -160,10 +164,11 @@
             return Err(Rejection::NoId { target: shown() });
         }
         let limit = view.limits.body;
-        let body = body::read(body, limit, &Memory::new(limit)).await;
-        let body = body.map_err(|error| match error {
+        let body = body::read_counted(body, limit, &self.shared.memory).await;
+        let (body, counted) = body.map_err(|error| match error {
             body::Error::TooLong { limit } => Rejection::BodyTooLong { limit },
-            body::Error::NoMemory { .. } | body::Error::Truncated => Rejection::Truncated,
+            body::Error::NoMemory { limit } => Rejection::NoMemory { limit },
+            body::Error::Truncated => Rejection::Truncated,
         })?;
         let (target, route) = (target.clone(), Arc::clone(route));
         let time = match forwarded {
@@ -186,6 +191,7 @@
             route,
             call: Arc::new(call),
             body: Arc::from(body),
+            _counted: counted,
         })
     }
 
--- a/crates/marigoldloom_front/src/instance.rs
+++ b/crates/marigoldloom_front/src/instance.rs
@@ -30,6 +30,7 @@
 use signal_hook::consts::signal;
 use signal_hook_async_std::Signals;
 
+use crate::body::Memory;
 use crate::calls::CountedSource;
 use crate::client::{self, Client};
 use crate::decisions::DecisionLog;
@@ -103,6 +104,8 @@
     pub exposure: Exposure,
     /// Limits on connections to replicas.
     pub client: client::Settings,
+    /// Memory for the bodies of requests, in bytes. Small bodies are not counted.
+    pub request_memory: usize,
 }
 
 /// Why an instance can't start.
@@ -211,6 +214,7 @@
         exchange,
         metrics: metrics.clone(),
         drain: stop.drain.clone(),
+        memory: Memory::new(settings.request_memory),
         margin: front::objective_margin(settings.capacity),
     });
     listener::serve(peers, front.for_peers(), stop.clone());
--- a/crates/marigoldloom_front/src/rejection.rs
+++ b/crates/marigoldloom_front/src/rejection.rs
@@ -45,6 +45,12 @@
         /// Largest number of bytes.
         limit: usize,
     },
+    /// The bodies of other requests take all memory for them.
+    #[display("bodies of requests take all of the {limit} bytes for them")]
+    NoMemory {
+        /// The limit in bytes.
+        limit: usize,
+    },
     /// The body ended early or could not be read.
     #[display("the body ended early")]
     Truncated,
@@ -57,7 +63,7 @@
     /// HTTP status of the response.
     pub(crate) const fn status(&self) -> StatusCode {
         match self {
-            Self::NotReady => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NotReady | Self::NoMemory { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute { .. } => StatusCode::NOT_FOUND,
             Self::NoHost { .. } | Self::NoPath { .. } | Self::NoId { .. } | Self::Truncated => {
                 StatusCode::BAD_REQUEST
