Limit the size of connection pools

Limits have at most 65,536 connections now.

pool_with_a_huge_limit_can_be_limited_at_once failed before: it didn't end within 30 s.

--- a/crates/marigoldloom_http/src/pool.rs
+++ b/crates/marigoldloom_http/src/pool.rs
@@ -13,6 +13,10 @@
 use crate::client;
 use crate::message;
 
+/// Greatest limit of a pool. Processes have fewer descriptors, and a limit that falls costs a step for
+/// each connection.
+pub const MAX_LIMIT: usize = 65_536;
+
 /// Limits of a pool.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Settings {
@@ -150,7 +154,7 @@
 
     /// Like [`Pool::new`], but reads the time since a fixed point from `clock`.
     pub fn with_clock(address: SocketAddr, settings: Settings, clock: fn() -> Duration) -> Self {
-        let limit = settings.max_connections.max(1);
+        let limit = settings.max_connections.clamp(1, MAX_LIMIT);
         let shared = Shared {
             address,
             permits: Arc::new(Semaphore::new(limit)),
@@ -165,10 +169,10 @@
         }
     }
 
-    /// Sets the largest number of connections; at least one. Idle connections over the limit
+    /// Sets the largest number of connections; at least one and at most [`MAX_LIMIT`]. Idle connections over the limit
     /// are closed at once, connections in use when they are returned.
     pub fn set_limit(&self, limit: usize) {
-        let limit = limit.max(1);
+        let limit = limit.clamp(1, MAX_LIMIT);
         let permits = &self.shared.permits;
         let mut size = self.shared.size();
         let grown = limit.saturating_sub(size.limit);
--- a/crates/marigoldloom_http/tests/loopback.rs
+++ b/crates/marigoldloom_http/tests/loopback.rs
@@ -271,6 +271,25 @@
     });
 }
 
+/// Guards against a process that does nothing else for 20 s because a limit of some billions falls.
+#[test]
+fn pool_with_a_huge_limit_can_be_limited_at_once() {
+    task::block_on(async {
+        let (server, _echo) = start(settings()).await;
+        let limits = pool::Settings {
+            max_connections: usize::MAX,
+            ..pool::Settings::default()
+        };
+        let pool: pool::Pool = pool::Pool::new(server.address(), limits);
+        let start = Instant::now();
+        for limit in [40, u32::MAX as usize, 1, usize::MAX, 40] {
+            pool.set_limit(limit);
+        }
+        let elapsed = start.elapsed();
+        assert!(elapsed < Duration::from_secs(1), "{elapsed:?}");
+    });
+}
+
 /// Guards against a changed limit that closes connections within the limit or keeps
 /// connections over it.
 #[test]
