Play entries under odd names and lists of several pages in the soak

The soak's odd entries had one name and its lists one page, so that it couldn't find a name that ends a list.

--- a/crates/marigoldloom_soak/src/deployment.rs
+++ b/crates/marigoldloom_soak/src/deployment.rs
@@ -48,6 +48,9 @@
 /// Service of the job route.
 pub const JOB_SERVICE: &str = "jobs";
 
+/// Number of objects in a page of the store's lists: less than there are replicas.
+const PAGE_SIZE: usize = 7;
+
 /// Maximum number of connections to a replica that the configuration allows.
 const MAX_CONNECTIONS: u32 = 32;
 
@@ -135,6 +138,7 @@
     pub async fn start(program: &Path, directory: &Path, sizes: &Sizes) -> io::Result<Self> {
         let history = History::default();
         let store = Store::new();
+        store.set_page_size(PAGE_SIZE);
         let (server, address) = store.serve().await?;
         let replicas = Replicas::start(&history, &store).await?;
         let mut members = Vec::new();
--- a/crates/marigoldloom_soak/src/steps.rs
+++ b/crates/marigoldloom_soak/src/steps.rs
@@ -28,8 +28,8 @@
 /// Time after the grace period of a stop until a process that still runs is killed.
 const STOP_MARGIN: Duration = Duration::from_millis(200);
 
-/// Name of an entry with random bytes.
-const ODD_NAME: &str = "odd";
+/// Names of entries with random bytes. Most need escaping in the target of a list's next page.
+const ODD_NAMES: [&str; 8] = ["odd", "i&x", "i+x", "i#x", "i%41", "i x", "", "i-ä"];
 
 /// Executes the steps of one phase at their times and waits until all of them are over.
 ///
@@ -242,9 +242,11 @@
         false => ("\"", "\""),
     };
     let content = [before.as_bytes(), bytes, after.as_bytes()].concat();
-    deployment.store.put_raw(kind, ODD_NAME, content);
+    let index = bytes.first().map_or(0, |byte| usize::from(*byte));
+    let name = ODD_NAMES[index % ODD_NAMES.len()];
+    deployment.store.put_raw(kind, name, content);
     task::sleep(Duration::from_millis(time_ms)).await;
-    deployment.store.remove(kind, ODD_NAME);
+    deployment.store.remove(kind, name);
 }
 
 async fn kill(deployment: &Deployment, instance: usize, down: Duration) -> io::Result<()> {
