Log what an instance waits for, and why it ends

A thread that panics and an instance that can't run were reported on standard error only.

`no requests are served: records are missing` comes every 2 s until the first view, with the kinds and the last failed calls.

--- a/crates/marigoldloom_catalog/src/catalog.rs
+++ b/crates/marigoldloom_catalog/src/catalog.rs
@@ -237,6 +237,15 @@
         reported.max(returned)
     }
 
+    /// Returns the kinds that must be known before there is a view.
+    pub fn missing_kinds(&self) -> Vec<Kind> {
+        let known = |kind: &Kind| match kind {
+            Kind::Configuration => self.current.is_some(),
+            _ => self.listed_kinds.contains(kind),
+        };
+        Kind::ALL.into_iter().filter(|kind| !known(kind)).collect()
+    }
+
     /// Returns a view of the records, or `None` until each kind was listed and a configuration is
     /// known.
     pub fn view(&self) -> Option<View> {
--- a/crates/marigoldloom_catalog/src/follower.rs
+++ b/crates/marigoldloom_catalog/src/follower.rs
@@ -5,6 +5,7 @@
 //! the platform are expensive. The other instances get the records from the watching ones, see
 //! [`crate::relay`], and the watching ones compare their records with each other.
 
+use std::collections::BTreeMap;
 use std::pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -79,6 +80,9 @@
 /// all instances of a new deployment do, and the list is read only after a delay.
 const COUNT_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Time between two log lines about records that are missing for the first view.
+const MISSING_PERIOD: Duration = Duration::from_secs(2);
+
 /// Where an instance gets records from, and the feed that serves them to others.
 #[derive(Clone, Debug)]
 pub struct Sources<S, P> {
@@ -109,10 +113,12 @@
             recovered_at: RecoveredAt::default(),
             down_since: None,
             last_update: Timestamp::ZERO,
+            failures: BTreeMap::new(),
         }),
         apply,
     };
-    future::join(follower.run(), follower.remove_expired()).await;
+    let housekeeping = future::join(follower.remove_expired(), follower.report_missing());
+    future::join(follower.run(), housekeeping).await;
 }
 
 struct Follower<R, S, P, F> {
@@ -131,6 +137,8 @@
     down_since: Option<Timestamp>,
     /// When a poll of a peer last succeeded.
     last_update: Timestamp,
+    /// The last failed call for each kind, unless a later one succeeded.
+    failures: BTreeMap<Kind, Error>,
 }
 
 impl<R: Runtime, S: Source, P: Peers, F: Fn(View)> Follower<R, S, P, F> {
@@ -148,6 +156,30 @@
         }
     }
 
+    /// Logs which records are missing until there is a first view: without one, the instance refuses
+    /// all requests.
+    async fn report_missing(&self) {
+        let start = self.rt.now();
+        loop {
+            self.rt.sleep(MISSING_PERIOD).await;
+            let state = self.state();
+            let missing = state.catalog.missing_kinds();
+            if missing.is_empty() {
+                return;
+            }
+            let failures = state.failures.iter();
+            let failures: Vec<_> = failures.map(|(k, e)| format!("{k}: {e}")).collect();
+            let missing: Vec<_> = missing.iter().map(ToString::to_string).collect();
+            tracing::warn!(
+                elapsed_ms = time::millis(self.rt.now().since(start)),
+                missing = missing.join(", "),
+                failures = failures.join("; "),
+                disconnected = state.down_since.is_some(),
+                "no requests are served: records are missing"
+            );
+        }
+    }
+
     /// Waits until the other instances are known or the time limit passes.
     async fn await_roster(&self) {
         let (start, roster) = (self.rt.now(), &self.sources.roster);
@@ -397,6 +429,7 @@
         self.update_state(|state, now| {
             let recovered_at = state.recovered_at;
             state.known.insert(kind, listing.revision);
+            state.failures.remove(&kind);
             state.catalog.replace(kind, listing, now, recovered_at);
             true
         });
@@ -473,6 +506,7 @@
     /// Records a failed call and waits before the next attempt.
     async fn back_off(&self, kind: Kind, error: &Error, attempt: &mut u32) {
         self.record_failure(kind, error);
+        self.state().failures.insert(kind, error.clone());
         let cap = match self.sources.roster.is_preferred_watcher() {
             true => RETRY_CAP,
             false => FALLBACK_RETRY_CAP,
--- a/crates/marigoldloom_telemetry/src/log.rs
+++ b/crates/marigoldloom_telemetry/src/log.rs
@@ -1,8 +1,8 @@
 //! Structured logging.
 
-use std::io;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
+use std::{io, panic, thread};
 
 use derive_more::derive;
 use serde::{Deserialize, Serialize};
@@ -126,6 +126,23 @@
     })
 }
 
+/// Logs panics of all threads as errors, in addition to the default report on standard error. A task
+/// that panics ends, and nothing else says that its work isn't done any more.
+pub fn report_panics() {
+    let default = panic::take_hook();
+    panic::set_hook(Box::new(move |info| {
+        let location = info.location().map(ToString::to_string);
+        let thread = thread::current();
+        tracing::error!(
+            panic = info.payload_as_str(),
+            location,
+            thread = thread.name(),
+            "a thread panicked"
+        );
+        default(info);
+    }));
+}
+
 /// Limits the number of log lines per second.
 #[derive(Clone, Debug, Default)]
 struct RateLimiter(Arc<Mutex<Window>>);
