End a load test when the bound on exposure is near

The load test, in which the new version gets all first attempts, is sized by the mean rate since the order. If the service gets its traffic late, that rate is several times too low, and nothing ended the test.

Instances report their counters with each tick of the test. The test ends on each instance as soon as the sum over all reports, with what the switch would add at the present rate, reaches the planned part of the bound. Its planned length stays as it is.

A rate that grows forty times after the test began, in its last second, still breaks the bound at the switch: what was proven at the low rate gets all requests.

--- a/crates/marigoldloom_moves/src/evidence.rs
+++ b/crates/marigoldloom_moves/src/evidence.rs
@@ -7,6 +7,7 @@
 use marigoldloom_records::version_move;
 use serde::{Deserialize, Serialize};
 
+use crate::plan::Traffic;
 use crate::share;
 
 /// Counters of the requests to one version. They never decrease.
@@ -162,6 +163,18 @@
         rates.sum()
     }
 
+    /// Returns the requests to the service over all instances.
+    pub(crate) fn traffic(&self) -> Traffic {
+        let reports = self.reports.values().flat_map(|r| r.routes.values());
+        let pairs = reports.flat_map(BTreeMap::values);
+        let sum = pairs.fold(CounterPair::default(), |sum, pair| sum + *pair);
+        Traffic {
+            rate: self.rate(),
+            all: (sum.new.started + sum.old.started) as f64,
+            new: sum.new.started as f64,
+        }
+    }
+
     /// Returns all routes with evidence.
     pub fn routes(&self) -> BTreeSet<&str> {
         let routes = self.reports.values().flat_map(|r| r.routes.keys());
--- a/crates/marigoldloom_moves/src/plan.rs
+++ b/crates/marigoldloom_moves/src/plan.rs
@@ -3,9 +3,11 @@
 //! A fault may show only at the load that the version carries after the move. Shortly before the end
 //! of the window the new version therefore gets all first attempts for a moment, while the old
 //! replicas still serve retries and can take everything back. The move is complete only if the
-//! replies of that moment prove the version. All instances follow the same plan, so the bound on what
-//! a bad version gets holds in sum without a count over all instances.
+//! replies of that moment prove the version. All instances follow the same plan, which is sized by the
+//! service's rate so far. If the rate rises meanwhile, the test ends as soon as the instances' reports
+//! show that the bound is near.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -35,6 +37,23 @@
 /// Share of the requests that the new version gets before the load test, as a part of the bound.
 const TRIAL_PART: f64 = 0.15;
 
+/// Time from the start of the load test in which reports of the time before it may still arrive.
+const REPORT_TIME: Duration = Duration::from_millis(300);
+
+/// Time over which the rate during the load test is measured.
+const RATE_TIME: Duration = Duration::from_millis(300);
+
+/// Requests to a service since the start of a move, over all instances.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) struct Traffic {
+    /// Mean number of requests per second.
+    pub(crate) rate: f64,
+    /// Attempts at both versions.
+    pub(crate) all: f64,
+    /// Attempts at the new version.
+    pub(crate) new: f64,
+}
+
 /// Largest number of requests that a bad version may get in the window of a move, over all
 /// instances.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -72,12 +91,16 @@
 }
 
 /// Stages of one move.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Plan {
     window: Duration,
     exposure: Exposure,
     /// Start of the load test; `None` until the rate of the service is known.
     load_start: Option<Duration>,
+    /// When the load test was ended before its time because the bound was near.
+    cut_at: Option<Duration>,
+    /// [`Traffic::all`] at recent moments of the load test, oldest first.
+    samples: VecDeque<(Duration, f64)>,
 }
 
 impl Plan {
@@ -86,18 +109,61 @@
             window: window.max(MIN_WINDOW),
             exposure,
             load_start: None,
+            cut_at: None,
+            samples: VecDeque::new(),
+        }
+    }
+
+    /// Sets the length of the load test by the service's rate. Once the test has begun, it only ends
+    /// it if the bound is near.
+    pub(crate) fn set_traffic(&mut self, elapsed: Duration, traffic: Traffic) {
+        match self.load_start {
+            Some(start) if elapsed >= start => {
+                if elapsed >= start + REPORT_TIME {
+                    self.samples.push_back((elapsed, traffic.all));
+                }
+                let rate = self.recent_rate().max(traffic.rate);
+                if traffic.new >= self.allowed(elapsed, rate, traffic.all) {
+                    self.cut_at.get_or_insert(elapsed);
+                }
+            }
+            _ if traffic.rate > 0.0 => {
+                let time = self.load_time(traffic.rate);
+                self.load_start = Some(self.load_end().saturating_sub(time));
+            }
+            _ => {}
         }
     }
 
-    /// Sets the length of the load test by the service's rate, in requests per second. It is fixed
-    /// once the test has begun.
-    pub(crate) fn set_rate(&mut self, elapsed: Duration, rate: f64) {
-        let begun = self.load_start.is_some_and(|start| elapsed >= start);
-        if !begun && rate > 0.0 {
-            self.load_start = Some(self.load_end().saturating_sub(self.load_time(rate)));
+    /// Returns the rate over the last [`RATE_TIME`] of the load test; 0 if it isn't known yet.
+    fn recent_rate(&mut self) -> f64 {
+        let Some(&(last, all)) = self.samples.back() else {
+            return 0.0;
+        };
+        while self
+            .samples
+            .get(1)
+            .is_some_and(|(at, _)| *at + RATE_TIME <= last)
+        {
+            self.samples.pop_front();
+        }
+        match self.samples.front() {
+            Some((at, before)) if *at + RATE_TIME <= last => {
+                (all - before) / (last - *at).as_secs_f64()
+            }
+            _ => 0.0,
         }
     }
 
+    /// Returns how many requests the new version may have got until the end of the load test if the
+    /// service has got `all` so far.
+    fn allowed(&self, elapsed: Duration, rate: f64, all: f64) -> f64 {
+        let left = self.window.saturating_sub(elapsed).as_secs_f64();
+        let Exposure { share, requests } = self.exposure;
+        let allowed = share * PLANNED_PART * (all + rate * left) + requests * PLANNED_REQUESTS;
+        allowed - rate * SWITCH_MARGIN.as_secs_f64()
+    }
+
     /// Returns how long the new version may get all requests of the service in addition to the trial
     /// and to the time after the switch.
     fn load_time(&self, rate: f64) -> Duration {
@@ -128,7 +194,7 @@
     pub(crate) fn stage(&self, elapsed: Duration) -> Stage {
         match self.load_start {
             _ if elapsed >= self.switch_at() => Stage::Switch,
-            _ if elapsed >= self.load_end() => Stage::Verdict,
+            _ if elapsed >= self.load_end() || self.cut_at.is_some() => Stage::Verdict,
             Some(start) if elapsed >= start => Stage::LoadTest,
             _ => Stage::Trial,
         }
--- a/crates/marigoldloom_moves/src/window.rs
+++ b/crates/marigoldloom_moves/src/window.rs
@@ -276,7 +276,7 @@
             active.adjust_start(now, merged.elapsed());
             active.progress.add_evidence(&merged);
             let elapsed = now.since(active.start);
-            active.plan.set_rate(elapsed, merged.rate());
+            active.plan.set_traffic(elapsed, merged.traffic());
             active.merged = merged;
             own.elapsed_ms = time::millis(elapsed);
             self.publish(active, &writer, own, now);
--- a/crates/marigoldloom_moves/tests/window.rs
+++ b/crates/marigoldloom_moves/tests/window.rs
@@ -100,6 +100,10 @@
     partitions: usize,
     /// Requests to the service in each tick.
     rate: u32,
+    /// Part of the window before which the service gets only [`Case::early_rate`].
+    rises_at: f64,
+    /// Requests in each tick until then, in tenths.
+    early_rate: u32,
     /// How the new version fails.
     fault: Fault,
     /// Part of the window after which all instances are replaced; above 1 never.
@@ -202,6 +206,7 @@
     let mut sums = Sums::default();
     let mut replaced = false;
     let mut shares = Vec::new();
+    let mut ticks = 0;
     while rt.now().since(began) < WINDOW {
         let elapsed = rt.now().since(began).as_secs_f64() / WINDOW.as_secs_f64();
         if elapsed >= case.replaced_at && !replaced {
@@ -216,14 +221,22 @@
         }
         let recent = shares.iter().rev().take(LOAD_TICKS);
         let load = recent.sum::<f64>() / LOAD_TICKS as f64;
-        let sent: Vec<_> = (0..case.rate)
+        let early = case.early_rate / 10
+            + u32::from(ticks * case.early_rate % 10 + case.early_rate % 10 >= 10);
+        ticks += 1;
+        let rate = if elapsed < case.rises_at {
+            early
+        } else {
+            case.rate
+        };
+        let sent: Vec<_> = (0..rate)
             .map(|_| send(&rt, &instances, case, elapsed, load))
             .collect();
         let count = |test: fn(&Sent) -> bool| sent.iter().filter(|s| test(s)).count() as u64;
         sums.all += sent.len() as u64;
         sums.new += count(|s| s.new);
         sums.bad += count(|s| s.bad);
-        shares.push(count(|s| s.new) as f64 / sent.len() as f64);
+        shares.push(count(|s| s.new) as f64 / sent.len().max(1) as f64);
         rt.sleep(TICK_INTERVAL).await;
     }
     sums
@@ -238,6 +251,8 @@
         senders: 8,
         partitions: 1,
         rate: 9,
+        rises_at: 0.0,
+        early_rate: 0,
         fault: Fault::From(0.0),
         replaced_at: 2.0,
         connected: true,
@@ -325,6 +340,43 @@
     assert!(problems.is_empty(), "{problems:#?}");
 }
 
+/// Guards against a load test that is sized by the rate of the whole window, and gets several times
+/// as many requests as planned if the service gets its traffic late.
+#[test]
+fn exposure_is_bounded_when_the_rate_rises_late() {
+    let rise = |rises_at, early_rate, rate, fault| Case {
+        instances: 8,
+        senders: 8,
+        partitions: 1,
+        rate,
+        rises_at,
+        early_rate,
+        fault,
+        replaced_at: 2.0,
+        connected: true,
+    };
+    let slow = Fault::SlowUnderLoad(0.5);
+    let late = Fault::From(0.9);
+    let cases = [
+        rise(0.56, 0, 2, slow),
+        rise(0.56, 0, 2, late),
+        rise(0.56, 2, 2, slow),
+        rise(0.7, 0, 3, slow),
+        rise(0.5, 1, 9, slow),
+        rise(0.5, 1, 9, late),
+        rise(0.8, 5, 4, slow),
+        rise(0.6, 10, 2, slow),
+    ];
+    let mut problems = Vec::new();
+    for (seed, case) in (1..).zip(cases) {
+        let sums = virtual_runtime::block_on(seed, |rt| play(rt, case));
+        if sums.new as f64 > sums.all as f64 * BOUND + SLACK {
+            problems.push((case, sums));
+        }
+    }
+    assert!(problems.is_empty(), "{problems:#?}");
+}
+
 /// Guards against an instance that was cut off at the end of a window, takes a version back for want
 /// of proof and overwrites the phase that the others have written.
 #[test]
@@ -347,16 +399,28 @@
 /// Guards against good versions that are taken back or not completed in time.
 #[test]
 fn good_versions_are_completed_in_time() {
-    for (seed, instances) in [8, 8, 8, 40].into_iter().enumerate() {
-        let case = Case {
-            instances,
-            senders: instances,
-            partitions: 1,
-            rate: 9,
-            fault: Fault::None,
-            replaced_at: 2.0,
-            connected: true,
-        };
+    let case = |instances, rises_at, early_rate, rate| Case {
+        instances,
+        senders: instances,
+        partitions: 1,
+        rate,
+        rises_at,
+        early_rate,
+        fault: Fault::None,
+        replaced_at: 2.0,
+        connected: true,
+    };
+    let cases = [
+        case(8, 0.0, 0, 9),
+        case(8, 0.0, 0, 9),
+        case(8, 0.0, 0, 9),
+        case(40, 0.0, 0, 9),
+        case(8, 0.56, 0, 2),
+        case(8, 0.5, 1, 9),
+        case(8, 0.8, 5, 4),
+        case(8, 0.6, 10, 2),
+    ];
+    for (seed, case) in cases.into_iter().enumerate() {
         let sums = virtual_runtime::block_on(seed as u64, |rt| play(rt, case));
         assert_eq!(sums.phase, Some(Phase::Done), "{case:?}: {sums:?}");
     }
