Reject heads that begin within a header of another one

The first part of an extra response that ends within the value of a header joins the head of the next answer: its status and `Not-Executed` come from the extra response, the id from the answer. Such a beginning was looked for in the reason phrase only.

A status line within the value of any header rejects the response and closes its connection now. Elsewhere in a head the piece leaves a line without a colon or an invalid length, which the parser refuses.

--- a/crates/marigoldloom_front/src/client.rs
+++ b/crates/marigoldloom_front/src/client.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use http::header::CONTENT_ENCODING;
-use http::{Extensions, Request, Response};
+use http::{HeaderValue, Request, Response, response};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::ext::ReasonPhrase;
@@ -218,7 +218,7 @@
             self.metrics.record_anonymous_response();
         }
         let accepted = connection.accepts_response(id, &subquery.request.0);
-        if !accepted || has_spliced_head(&head.extensions) {
+        if !accepted || has_spliced_head(&head) {
             self.metrics.record_unmatched_response();
             tracing::info!(
                 request = &*subquery.request.0,
@@ -286,11 +286,37 @@
     }
 }
 
-/// Whether the head of a response begins within the status line of another one, as after a piece of an
-/// extra response.
-fn has_spliced_head(extensions: &Extensions) -> bool {
-    let reason = extensions.get::<ReasonPhrase>();
-    reason.is_some_and(|r| r.as_bytes().windows(5).any(|bytes| bytes == b"HTTP/"))
+/// Whether the head of a response begins within the status line or a header of another one, as after a
+/// piece of an extra response. A piece that ends elsewhere in a head leaves it malformed.
+fn has_spliced_head(head: &response::Parts) -> bool {
+    let reason = head.extensions.get::<ReasonPhrase>();
+    let in_reason = reason.is_some_and(|r| r.as_bytes().windows(5).any(|bytes| bytes == b"HTTP/"));
+    let mut values = head.headers.values().map(HeaderValue::as_bytes);
+    in_reason || values.any(|value| value.windows(STATUS_LINE_LEN).any(is_status_line))
+}
+
+/// Length of a status line up to its code.
+const STATUS_LINE_LEN: usize = "HTTP/1.1 200".len();
+
+/// Whether `bytes`, of [`STATUS_LINE_LEN`], are the beginning of a status line.
+const fn is_status_line(bytes: &[u8]) -> bool {
+    matches!(
+        bytes,
+        [
+            b'H',
+            b'T',
+            b'T',
+            b'P',
+            b'/',
+            b'0'..=b'9',
+            b'.',
+            b'0'..=b'9',
+            b' ',
+            b'0'..=b'9',
+            b'0'..=b'9',
+            b'0'..=b'9'
+        ]
+    )
 }
 
 /// Classifies a response as an answer, a refusal or a failure.
