Handle signals from the beginning of the program on

The platform sends SIGHUP whenever the settings change, so a start beside such a change was a process that ended by itself; a stop during the wait left no log line and no exit code 0.

The handlers were installed by the instance, after settings, log and addresses. They are now the first thing that the program does when it runs an instance. Signals that arrive before they are waited for are kept. The wait for an address ends on a stop signal, and goes on with the newest settings after SIGHUP; the instance listens on all of its addresses or on none meanwhile, so that peers are refused rather than left waiting. A stop signal precedes SIGHUP if both have arrived.

The settings are read by the instance now, which reads them again anyway; `starting` precedes the first read.

--- a/crates/marigoldloom_front/src/instance.rs
+++ b/crates/marigoldloom_front/src/instance.rs
@@ -4,11 +4,10 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use std::{io, mem};
+use std::{fmt, io, mem};
 
-use async_std::net::TcpListener;
 use derive_more::derive;
-use futures::StreamExt;
+use futures::future::Either;
 use marigoldloom_catalog::catalog::Place;
 use marigoldloom_catalog::fleet;
 use marigoldloom_catalog::follower::{self, LatestView, Sources};
@@ -22,13 +21,11 @@
 use marigoldloom_query::hooks::{self, Hooks};
 use marigoldloom_routing::{health, home};
 use marigoldloom_runtime::async_std_runtime::AsyncStd;
-use marigoldloom_runtime::runtime::{self, Runtime};
+use marigoldloom_runtime::runtime::Runtime;
 use marigoldloom_runtime::time::{self, Timestamp};
 use marigoldloom_telemetry::log::DroppedLines;
 use marigoldloom_telemetry::metrics::{self, Metrics};
 use marigoldloom_upstream::upstream::Upstream;
-use signal_hook::consts::signal;
-use signal_hook_async_std::Signals;
 
 use crate::body::Memory;
 use crate::calls::CountedSource;
@@ -43,6 +40,8 @@
 use crate::moves::{self, Moves, Versions};
 use crate::records::Peers;
 use crate::sharing::Sharing;
+use crate::signals::{Signal, Signals};
+use crate::start::{self, Start};
 use crate::strikes;
 
 /// How long new connections are accepted after a stop signal. The load balancer checks readiness
@@ -55,13 +54,6 @@
 /// Part of [`Settings::grace`] that is reserved for the exit of the process.
 const EXIT_MARGIN: Duration = Duration::from_millis(300);
 
-/// Longest time that an instance waits at its start for an address that is in use: longer than
-/// platforms let a process run on after a stop signal.
-const BIND_LIMIT: Duration = Duration::from_secs(10);
-
-/// Pause before such an address is tried again.
-const BIND_PAUSE: Duration = Duration::from_millis(50);
-
 /// Pause before the address for metrics is tried again.
 const METRICS_PAUSE: Duration = Duration::from_secs(5);
 
@@ -108,12 +100,14 @@
     pub request_memory: usize,
 }
 
-/// Why an instance can't start.
+/// Why an instance can't start. `E` is the error of its settings.
 #[derive(Debug)]
-#[derive(derive::Display, derive::Error, derive::From)]
-pub enum Error {
+#[derive(derive::Display, derive::Error)]
+pub enum Error<E> {
+    /// The settings can't be used.
+    #[display("{_0}")]
+    Settings(E),
     /// An address can't be bound.
-    #[from(skip)]
     #[display("{address} can't be bound: {error}")]
     Bind {
         /// The address.
@@ -121,8 +115,7 @@
         /// The error of the operating system.
         error: io::Error,
     },
-    /// Signal handlers can't be installed.
-    #[from(skip)]
+    /// Signals can't be waited for.
     #[display("signals can't be handled: {_0}")]
     Signals(io::Error),
     /// Metrics can't be set up.
@@ -130,28 +123,30 @@
     Metrics(metrics::Error),
 }
 
-/// Runs an instance until a stop signal. `read_settings` reads the current settings, and returns
-/// `None` if they are invalid; `dropped` returns how many log lines were dropped so far.
+/// Runs an instance until a stop signal. `read` returns the current settings and the source of
+/// records that they name; `dropped` returns how many log lines were dropped so far.
 ///
 /// # Errors
 ///
 /// [`Error`] if it can't start.
-pub async fn run<S: Source, D: Dialect>(
-    settings: Settings,
-    source: S,
+pub async fn run<S: Source, D: Dialect, E: fmt::Display>(
+    mut signals: Signals,
     dialect: D,
-    read_settings: impl Fn() -> Option<Settings>,
+    read: impl Fn() -> Result<(Settings, S), E>,
     dropped: impl Fn() -> DroppedLines + Send + 'static,
-) -> Result<(), Error> {
+) -> Result<(), Error<E>> {
     let rt = AsyncStd::new();
-    // Until it serves its addresses, the instance neither registers nor handles signals.
-    let peers = bind(&rt, settings.peer_address).await?;
-    let callers = bind(&rt, settings.caller_address).await?;
-    let checks = bind(&rt, settings.readiness_address).await?;
+    // Until it listens on its addresses, the instance doesn't register.
+    let Some(start) = start::start(&rt, &mut signals, &read).await? else {
+        return Ok(());
+    };
+    let Start {
+        settings,
+        source,
+        listeners,
+    } = start;
     rt.spawn(rt.watch_suspensions());
-    let signals = Signals::new([signal::SIGTERM, signal::SIGINT, signal::SIGHUP]);
-    let signals = signals.map_err(Error::Signals)?;
-    let metrics = Metrics::new()?;
+    let metrics = Metrics::new().map_err(Error::Metrics)?;
     let source = CountedSource {
         source,
         metrics: metrics.clone(),
@@ -217,14 +212,14 @@
         memory: Memory::new(settings.request_memory),
         margin: front::objective_margin(settings.capacity),
     });
-    listener::serve(peers, front.for_peers(), stop.clone());
-    listener::serve(callers, front, stop.clone());
+    listener::serve(listeners.peers, front.for_peers(), stop.clone());
+    listener::serve(listeners.callers, front, stop.clone());
     let readiness = ReadinessEndpoint {
         path: settings.readiness_path,
         latest,
         closing: stop.closing.clone(),
     };
-    listener::serve(checks, readiness, Stop::default());
+    listener::serve(listeners.checks, readiness, Stop::default());
     rt.spawn(serve_metrics(rt, settings.metrics_address, metrics));
     rt.spawn(report_dropped(rt, dropped));
     tracing::info!(
@@ -236,32 +231,37 @@
     let mut reload = Reload {
         last_read: settings.clone(),
         settings,
-        read_settings,
     };
-    await_stop(&rt, signals, || {
-        if let Some(settings) = reload.check() {
-            sharing.set_allowance(settings.allowance);
+    let reload_settings = || match read() {
+        Ok((new, _)) => {
+            if let Some(settings) = reload.apply(new) {
+                sharing.set_allowance(settings.allowance);
+            }
         }
-    })
-    .await;
+        Err(error) => tracing::warn!(%error, "the settings can't be used"),
+    };
+    let stopped = await_stop(&rt, &mut signals, reload_settings).await;
+    stopped.map_err(Error::Signals)?;
     shut_down(&rt, &reload.settings, &stop).await;
     Ok(())
 }
 
 /// Reloads the settings while the instance runs.
-struct Reload<F> {
+struct Reload {
     /// Current settings. Only [`Settings::grace`] and [`Settings::allowance`] change without a
     /// restart.
     settings: Settings,
     /// The settings that were read last.
     last_read: Settings,
-    read_settings: F,
 }
 
-impl<F: Fn() -> Option<Settings>> Reload<F> {
-    /// Reads the settings. If any of them has changed, returns the settings now in effect.
-    fn check(&mut self) -> Option<&Settings> {
-        let new = (self.read_settings)().filter(|new| *new != self.last_read)?;
+impl Reload {
+    /// Applies settings that were read. If any of them has changed, returns the settings now in
+    /// effect.
+    fn apply(&mut self, new: Settings) -> Option<&Settings> {
+        if new == self.last_read {
+            return None;
+        }
         self.settings.grace = new.grace;
         self.settings.allowance = new.allowance;
         tracing::info!(
@@ -345,25 +345,6 @@
     }
 }
 
-/// Listens on `address`. While another process uses it, as the instance's last one may until it has
-/// ended, tries again for [`BIND_LIMIT`].
-async fn bind(rt: &impl Runtime, address: SocketAddr) -> Result<TcpListener, Error> {
-    let end = rt.now() + BIND_LIMIT;
-    let mut reported = false;
-    loop {
-        match listener::bind(address).await {
-            Ok(listener) => return Ok(listener),
-            Err(error) if error.kind() == io::ErrorKind::AddrInUse && rt.now() < end => {
-                if !mem::replace(&mut reported, true) {
-                    tracing::warn!(%address, "the address is in use; waiting for it");
-                }
-                rt.sleep(BIND_PAUSE).await;
-            }
-            Err(error) => return Err(Error::Bind { address, error }),
-        }
-    }
-}
-
 /// Serves metrics once `address` can be bound. The instance works without them.
 async fn serve_metrics(rt: impl Runtime, address: SocketAddr, metrics: Metrics) {
     let mut reported = false;
@@ -382,19 +363,21 @@
 }
 
 /// Waits for a stop signal. Meanwhile calls `reload` on each SIGHUP and at regular intervals.
-async fn await_stop(rt: &impl Runtime, mut signals: Signals, mut reload: impl FnMut()) {
+async fn await_stop(
+    rt: &impl Runtime,
+    signals: &mut Signals,
+    mut reload: impl FnMut(),
+) -> io::Result<()> {
     loop {
-        match runtime::timeout(rt, SETTINGS_PERIOD, signals.next()).await {
-            Ok(Some(signal::SIGHUP)) => {
-                tracing::info!("reloading the settings");
-                reload();
-            }
-            Ok(signal) => {
+        match signals.during(rt.sleep(SETTINGS_PERIOD)).await? {
+            Either::Left(Signal::Stop(signal)) => {
                 tracing::info!(signal, "stopping");
-                return;
+                return Ok(());
             }
-            Err(_) => reload(),
+            Either::Left(Signal::Reload) => tracing::info!("reloading the settings"),
+            Either::Right(()) => {}
         }
+        reload();
     }
 }
 
--- a/crates/marigoldloom_front/src/lib.rs
+++ b/crates/marigoldloom_front/src/lib.rs
@@ -30,4 +30,6 @@
 mod responses;
 mod sent_requests;
 mod sharing;
+pub mod signals;
+mod start;
 mod strikes;
