Read the settings on a thread of their own

A settings file that can't be read to its end (a pipe without a writer, a file system that doesn't answer) kept an instance from ending: after SIGHUP and SIGTERM it was still there 8 s later, until SIGKILL. The same at the start, where it said nothing.

The file was read on the thread that waits for signals, at the start, every 5 s and on each SIGHUP. A read now has a thread of its own.

--- a/crates/marigoldloom_front/src/instance.rs
+++ b/crates/marigoldloom_front/src/instance.rs
@@ -38,6 +38,7 @@
 use crate::homes::{self, Homes};
 use crate::listener::{self, Stop};
 use crate::moves::{self, Moves, Versions};
+use crate::reader::Reader;
 use crate::records::Peers;
 use crate::sharing::Sharing;
 use crate::signals::{Signal, Signals};
@@ -102,11 +103,15 @@
 
 /// Why an instance can't start. `E` is the error of its settings.
 #[derive(Debug)]
-#[derive(derive::Display, derive::Error)]
+#[derive(derive::Display, derive::Error, derive::From)]
 pub enum Error<E> {
     /// The settings can't be used.
     #[display("{_0}")]
     Settings(E),
+    /// The settings take too long to read.
+    #[display("the settings aren't read within {_0:?}")]
+    #[error(ignore)]
+    Unread(Duration),
     /// An address can't be bound.
     #[display("{address} can't be bound: {error}")]
     Bind {
@@ -116,6 +121,7 @@
         error: io::Error,
     },
     /// Signals can't be waited for.
+    #[from]
     #[display("signals can't be handled: {_0}")]
     Signals(io::Error),
     /// Metrics can't be set up.
@@ -129,15 +135,21 @@
 /// # Errors
 ///
 /// [`Error`] if it can't start.
-pub async fn run<S: Source, D: Dialect, E: fmt::Display>(
+pub async fn run<S, D, E>(
     mut signals: Signals,
     dialect: D,
-    read: impl Fn() -> Result<(Settings, S), E>,
+    read: impl Fn() -> Result<(Settings, S), E> + Clone + Send + 'static,
     dropped: impl Fn() -> DroppedLines + Send + 'static,
-) -> Result<(), Error<E>> {
+) -> Result<(), Error<E>>
+where
+    S: Source,
+    D: Dialect,
+    E: fmt::Display + Send + 'static,
+{
     let rt = AsyncStd::new();
+    let mut reader = Reader::new(read);
     // Until it listens on its addresses, the instance doesn't register.
-    let Some(start) = start::start(&rt, &mut signals, &read).await? else {
+    let Some(start) = start::start(&rt, &mut signals, &mut reader).await? else {
         return Ok(());
     };
     let Start {
@@ -232,7 +244,7 @@
         last_read: settings.clone(),
         settings,
     };
-    let reload_settings = || match read() {
+    let apply = |read| match read {
         Ok((new, _)) => {
             if let Some(settings) = reload.apply(new) {
                 sharing.set_allowance(settings.allowance);
@@ -240,8 +252,7 @@
         }
         Err(error) => tracing::warn!(%error, "the settings can't be used"),
     };
-    let stopped = await_stop(&rt, &mut signals, reload_settings).await;
-    stopped.map_err(Error::Signals)?;
+    await_stop(&rt, &mut signals, &mut reader, apply).await?;
     shut_down(&rt, &reload.settings, &stop).await;
     Ok(())
 }
@@ -362,22 +373,38 @@
     }
 }
 
-/// Waits for a stop signal. Meanwhile calls `reload` on each SIGHUP and at regular intervals.
-async fn await_stop(
+/// Waits for a stop signal. Meanwhile reads the settings on each SIGHUP and at regular intervals, and
+/// calls `apply` with the results.
+async fn await_stop<F, T>(
     rt: &impl Runtime,
     signals: &mut Signals,
-    mut reload: impl FnMut(),
-) -> io::Result<()> {
+    reader: &mut Reader<F, T>,
+    mut apply: impl FnMut(T),
+) -> io::Result<()>
+where
+    F: Fn() -> T + Clone + Send + 'static,
+    T: Send + 'static,
+{
+    let mut pause = SETTINGS_PERIOD;
     loop {
-        match signals.during(rt.sleep(SETTINGS_PERIOD)).await? {
+        let read = async {
+            rt.sleep(pause).await;
+            reader.read(rt).await
+        };
+        pause = match signals.during(read).await? {
             Either::Left(Signal::Stop(signal)) => {
                 tracing::info!(signal, "stopping");
                 return Ok(());
             }
-            Either::Left(Signal::Reload) => tracing::info!("reloading the settings"),
-            Either::Right(()) => {}
-        }
-        reload();
+            Either::Left(Signal::Reload) => {
+                tracing::info!("reloading the settings");
+                Duration::ZERO
+            }
+            Either::Right(result) => {
+                result.map(&mut apply);
+                SETTINGS_PERIOD
+            }
+        };
     }
 }
 
--- a/crates/marigoldloom_front/src/lib.rs
+++ b/crates/marigoldloom_front/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod merge;
 mod moves;
 mod peer_client;
+mod reader;
 mod records;
 mod rejection;
 mod responses;
--- a/crates/marigoldloom_front/src/start.rs
+++ b/crates/marigoldloom_front/src/start.rs
@@ -11,14 +11,18 @@
 
 use crate::instance::{Error, Settings};
 use crate::listener;
+use crate::reader::Reader;
 use crate::signals::{Signal, Signals};
 
-/// Longest time that an instance waits for an address that is in use: longer than platforms let a
-/// process run on after a stop signal.
-const BIND_LIMIT: Duration = Duration::from_secs(10);
+/// Longest time that an instance waits for its settings, and for an address that is in use: longer
+/// than platforms let a process run on after a stop signal.
+const START_LIMIT: Duration = Duration::from_secs(10);
 
-/// Pause before such an address is tried again.
-const BIND_PAUSE: Duration = Duration::from_millis(50);
+/// Pause before they are tried again.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// What a read of the settings returns: the settings and the source of records that they name.
+pub(crate) type Read<S, E> = Result<(Settings, S), E>;
 
 /// Listeners of an instance, except that of metrics.
 pub(crate) struct Listeners {
@@ -52,49 +56,59 @@
 /// Reads the settings and listens on their addresses. While another process uses one, as the
 /// instance's last one may until it has ended, tries again with the newest settings. Returns `None`
 /// after a stop signal.
-pub(crate) async fn start<S, E>(
+pub(crate) async fn start<F, S, E>(
     rt: &impl Runtime,
     signals: &mut Signals,
-    read: impl Fn() -> Result<(Settings, S), E>,
-) -> Result<Option<Start<S>>, Error<E>> {
-    let (mut settings, mut source) = read().map_err(Error::Settings)?;
-    let end = rt.now() + BIND_LIMIT;
+    reader: &mut Reader<F, Read<S, E>>,
+) -> Result<Option<Start<S>>, Error<E>>
+where
+    F: Fn() -> Read<S, E> + Clone + Send + 'static,
+    S: Send + 'static,
+    E: Send + 'static,
+{
+    let end = rt.now() + START_LIMIT;
+    let mut newest = None;
     let mut reported = false;
-    let mut signal = signals.take();
     loop {
-        match signal {
-            Some(Signal::Stop(signal)) => {
+        match signals.during(reader.read(rt)).await? {
+            Either::Left(Signal::Stop(signal)) => {
                 tracing::info!(signal, "stopping");
                 tracing::info!(connections = 0, "stopped");
                 return Ok(None);
             }
-            Some(Signal::Reload) => {
+            Either::Left(Signal::Reload) => {
                 tracing::info!("reloading the settings");
-                if let Ok(new) = read() {
-                    (settings, source) = new;
-                }
+                continue;
             }
-            None => {}
-        }
-        match Listeners::bind(&settings).await {
-            Ok(listeners) => {
-                return Ok(Some(Start {
-                    settings,
-                    source,
-                    listeners,
-                }));
+            Either::Right(Some(Ok(new))) => newest = Some(new),
+            Either::Right(Some(Err(error))) if newest.is_none() => {
+                return Err(Error::Settings(error));
+            }
+            Either::Right(None) if newest.is_none() && rt.now() >= end => {
+                return Err(Error::Unread(START_LIMIT));
             }
-            Err((address, error)) if error.kind() == io::ErrorKind::AddrInUse && rt.now() < end => {
-                if !mem::replace(&mut reported, true) {
-                    tracing::warn!(%address, "the address is in use; waiting for it");
+            Either::Right(_) => {}
+        }
+        if let Some((settings, source)) = newest.take() {
+            match Listeners::bind(&settings).await {
+                Ok(listeners) => {
+                    return Ok(Some(Start {
+                        settings,
+                        source,
+                        listeners,
+                    }));
+                }
+                Err((address, error))
+                    if error.kind() == io::ErrorKind::AddrInUse && rt.now() < end =>
+                {
+                    if !mem::replace(&mut reported, true) {
+                        tracing::warn!(%address, "the address is in use; waiting for it");
+                    }
                 }
+                Err((address, error)) => return Err(Error::Bind { address, error }),
             }
-            Err((address, error)) => return Err(Error::Bind { address, error }),
+            newest = Some((settings, source));
         }
-        let pause = signals.during(rt.sleep(BIND_PAUSE)).await;
-        signal = match pause.map_err(Error::Signals)? {
-            Either::Left(signal) => Some(signal),
-            Either::Right(()) => None,
-        };
+        rt.sleep(PAUSE).await;
     }
 }
