Wait at the start for settings that can be used

An instance whose settings file wasn't there yet, was empty or was written only in part ended with code 2 at once. The platform writes the file at every start and whenever the settings change, so such a moment is no error of the operator's.

The file is read again every 50 ms for up to 10 s, as long as an address in use is waited for, and the instance goes on as soon as it can be used. `the settings can't be used; waiting for others` says once what is wrong with it. After 10 s the process ends with code 2 and the same error as before.

--- a/crates/marigoldloom_front/src/start.rs
+++ b/crates/marigoldloom_front/src/start.rs
@@ -1,9 +1,8 @@
 //! The start of an instance, until it listens on its addresses.
 
-use std::io;
-use std::mem;
 use std::net::SocketAddr;
 use std::time::Duration;
+use std::{fmt, io, mem};
 
 use async_std::net::TcpListener;
 use futures::future::Either;
@@ -53,9 +52,10 @@
     pub(crate) listeners: Listeners,
 }
 
-/// Reads the settings and listens on their addresses. While another process uses one, as the
-/// instance's last one may until it has ended, tries again with the newest settings. Returns `None`
-/// after a stop signal.
+/// Reads the settings and listens on their addresses. While the settings can't be used, as they may
+/// be until they are written to their end, or another process uses an address, as the instance's
+/// last one may until it has ended, tries again with the newest settings. Returns `None` after a
+/// stop signal.
 pub(crate) async fn start<F, S, E>(
     rt: &impl Runtime,
     signals: &mut Signals,
@@ -64,11 +64,11 @@
 where
     F: Fn() -> Read<S, E> + Clone + Send + 'static,
     S: Send + 'static,
-    E: Send + 'static,
+    E: fmt::Display + Send + 'static,
 {
     let end = rt.now() + START_LIMIT;
     let mut newest = None;
-    let mut reported = false;
+    let (mut unusable, mut reported) = (false, false);
     loop {
         match signals.during(reader.read(rt)).await? {
             Either::Left(Signal::Stop(signal)) => {
@@ -81,12 +81,17 @@
                 continue;
             }
             Either::Right(Some(Ok(new))) => newest = Some(new),
-            Either::Right(Some(Err(error))) if newest.is_none() => {
+            Either::Right(Some(Err(error))) if newest.is_none() && rt.now() >= end => {
                 return Err(Error::Settings(error));
             }
             Either::Right(None) if newest.is_none() && rt.now() >= end => {
                 return Err(Error::Unread(START_LIMIT));
             }
+            Either::Right(Some(Err(error))) => {
+                if !mem::replace(&mut unusable, true) {
+                    tracing::warn!(%error, "the settings can't be used; waiting for others");
+                }
+            }
             Either::Right(_) => {}
         }
         if let Some((settings, source)) = newest.take() {
