Wait for addresses for as long as they can't be bound

An instance ended with code 1 at once if the machine didn't have one of its addresses (EADDRNOTAVAIL), as after a power loss until its interface is up, and after 10 s if another process used one. Every restart by the platform ended in the same way, so that one cause outside of the process counted as several processes that end by themselves.

A restart has nothing over another try, since each try uses the newest settings. The instance waits without a limit in both cases, every 50 ms, and logs `an address can't be used yet; waiting` with the error at once and then every 10 s. Readiness can't be answered meanwhile, so no load balancer sends requests. Errors that don't pass by themselves, such as a port that needs a permission, still end it with code 1.

With it all tests of `startup` pass.

--- a/crates/marigoldloom_front/src/start.rs
+++ b/crates/marigoldloom_front/src/start.rs
@@ -13,11 +13,13 @@
 use crate::reader::Reader;
 use crate::signals::{Signal, Signals};
 
-/// Longest time that an instance waits for its settings, and for an address that is in use: longer
-/// than platforms let a process run on after a stop signal.
-const START_LIMIT: Duration = Duration::from_secs(10);
+/// Longest time that an instance waits for settings that can be used.
+const SETTINGS_LIMIT: Duration = Duration::from_secs(10);
 
-/// Pause before they are tried again.
+/// Time between two log lines about an address that can't be used.
+const REPORT_PERIOD: Duration = Duration::from_secs(10);
+
+/// Pause before settings or addresses that can't be used are tried again.
 const PAUSE: Duration = Duration::from_millis(50);
 
 /// What a read of the settings returns: the settings and the source of records that they name.
@@ -52,10 +54,17 @@
     pub(crate) listeners: Listeners,
 }
 
+/// Whether an address may be bound later: its last user may end, or its interface may come up.
+fn is_temporary(error: &io::Error) -> bool {
+    matches!(
+        error.kind(),
+        io::ErrorKind::AddrInUse | io::ErrorKind::AddrNotAvailable
+    )
+}
+
 /// Reads the settings and listens on their addresses. While the settings can't be used, as they may
-/// be until they are written to their end, or another process uses an address, as the instance's
-/// last one may until it has ended, tries again with the newest settings. Returns `None` after a
-/// stop signal.
+/// be until they are written to their end, or an address can't be bound yet, tries again with the
+/// newest settings. Returns `None` after a stop signal.
 pub(crate) async fn start<F, S, E>(
     rt: &impl Runtime,
     signals: &mut Signals,
@@ -66,9 +75,10 @@
     S: Send + 'static,
     E: fmt::Display + Send + 'static,
 {
-    let end = rt.now() + START_LIMIT;
+    let end = rt.now() + SETTINGS_LIMIT;
     let mut newest = None;
-    let (mut unusable, mut reported) = (false, false);
+    let mut unusable = false;
+    let mut next_report = rt.now();
     loop {
         match signals.during(reader.read(rt)).await? {
             Either::Left(Signal::Stop(signal)) => {
@@ -85,7 +95,7 @@
                 return Err(Error::Settings(error));
             }
             Either::Right(None) if newest.is_none() && rt.now() >= end => {
-                return Err(Error::Unread(START_LIMIT));
+                return Err(Error::Unread(SETTINGS_LIMIT));
             }
             Either::Right(Some(Err(error))) => {
                 if !mem::replace(&mut unusable, true) {
@@ -103,11 +113,10 @@
                         listeners,
                     }));
                 }
-                Err((address, error))
-                    if error.kind() == io::ErrorKind::AddrInUse && rt.now() < end =>
-                {
-                    if !mem::replace(&mut reported, true) {
-                        tracing::warn!(%address, "the address is in use; waiting for it");
+                Err((address, error)) if is_temporary(&error) => {
+                    if rt.now() >= next_report {
+                        tracing::warn!(%address, %error, "an address can't be used yet; waiting");
+                        next_report = rt.now() + REPORT_PERIOD;
                     }
                 }
                 Err((address, error)) => return Err(Error::Bind { address, error }),
