Bound the time that the end of the process takes for its output

With room in the buffer, its end took 1 s longer, so that a stop beside a request that ran on took 6.5 s, `GraceS` being 6. An error before the end, such as invalid settings, blocked on standard error in the same way.

Both are written on a thread of their own at the end of the process and waited for, for 0.1 s and 1 s.

--- a/crates/marigoldloom_telemetry/src/log.rs
+++ b/crates/marigoldloom_telemetry/src/log.rs
@@ -1,8 +1,10 @@
 //! Structured logging.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::fmt::Display;
+use std::io::{self, Write};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, mpsc};
 use std::time::{Duration, Instant};
-use std::{io, panic, thread};
+use std::{panic, thread};
 
 use derive_more::derive;
 use serde::{Deserialize, Serialize};
@@ -70,11 +72,12 @@
     pub full: u64,
 }
 
-/// Logging to standard output. Dropping it flushes the buffer.
+/// Logging to standard output. Dropping it flushes the buffer, which blocks for as long as nobody
+/// reads standard output; see [`Log::close`].
 #[derive(Debug)]
 pub struct Log {
     counter: DroppedLineCounter,
-    _guard: WorkerGuard,
+    guard: WorkerGuard,
 }
 
 impl Log {
@@ -82,6 +85,11 @@
     pub fn counter(&self) -> DroppedLineCounter {
         self.counter.clone()
     }
+
+    /// Flushes the buffer. Lines that nobody has read after `limit` are lost.
+    pub fn close(self, limit: Duration) {
+        run_within(limit, move || drop(self.guard));
+    }
 }
 
 /// Counts log lines that are not written.
@@ -122,10 +130,32 @@
     installed.map_err(|_| Error::AlreadyInitialized)?;
     Ok(Log {
         counter: DroppedLineCounter { rate_limiter, full },
-        _guard: guard,
+        guard,
     })
 }
 
+/// Writes a line to standard error. It is lost if nobody has read it after `limit`.
+pub fn report(line: impl Display, limit: Duration) {
+    let line = line.to_string();
+    run_within(limit, move || {
+        // A failure to write to standard error can't be reported anywhere.
+        let _ = writeln!(io::stderr(), "{line}");
+    });
+}
+
+/// Runs `operation` on a thread of its own and waits for its end, at most for `limit`.
+fn run_within(limit: Duration, operation: impl FnOnce() + Send + 'static) {
+    let (sender, ended) = mpsc::channel::<()>();
+    let running = thread::Builder::new().spawn(move || {
+        operation();
+        drop(sender);
+    });
+    if running.is_ok() {
+        // Nothing is sent: the end of the thread disconnects the channel.
+        let _ = ended.recv_timeout(limit);
+    }
+}
+
 /// Logs panics of all threads as errors, in addition to the default report on standard error. A task
 /// that panics ends, and nothing else says that its work isn't done any more.
 pub fn report_panics() {
