Leave file descriptors to the instance when callers take many

Callers saw 503 on connections that an instance had accepted, and other callers no answer at all, while its readiness checks timed out. It lasted as long as the connections were open, also after a restart.

Each listener accepted connections until the process had no descriptor left. Idle connections to replicas close after seconds, and the callers that waited in the accept queue took their descriptors, so nothing was left for new connections to the platform, replicas and other instances, nor for accepted readiness checks. Each failed accept also wrote a warning, 200 a second.

Callers' connections now take at most three quarters of the descriptors that the process may open. Further ones are closed before anything is read from them, so that callers may retry at once. Lines about refused and failed connections are written at most once a second, with a count.

--- a/crates/marigoldloom_front/src/front.rs
+++ b/crates/marigoldloom_front/src/front.rs
@@ -20,6 +20,7 @@
 use marigoldloom_query::refusal::{Kind, Refusal, RunStatus};
 use marigoldloom_query::request::{EarlyAnswer, ErrorReplies, Policy, Request as Query};
 use marigoldloom_records::class::Class;
+use marigoldloom_runtime::descriptors;
 use marigoldloom_runtime::runtime::{self, Runtime};
 use marigoldloom_runtime::scope;
 use marigoldloom_runtime::time::{self, Timestamp};
@@ -55,6 +56,10 @@
 /// crashes upstreams is told the whole time for which it is refused.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 
+/// Part of the process's file descriptors that callers' connections leave for the platform, upstreams,
+/// other instances, and checks of readiness.
+const RESERVED_DIVISOR: usize = 4;
+
 /// Tenant of all requests; callers don't name one.
 const DEFAULT_TENANT: &str = "default";
 
@@ -473,6 +478,13 @@
             .map_or_else(Limits::default, |v| v.limits)
     }
 
+    fn max_connections(&self) -> usize {
+        match self.from_peers {
+            true => usize::MAX,
+            false => caller_connections(descriptors::limit()),
+        }
+    }
+
     fn added_head(&self) -> AddedHead {
         match self.from_peers {
             true => forward::ADDED_HEAD,
@@ -515,6 +527,12 @@
     }
 }
 
+/// Number of callers' connections for which a process with at most `descriptors` file descriptors has
+/// room.
+fn caller_connections(descriptors: Option<usize>) -> usize {
+    descriptors.map_or(usize::MAX, |limit| limit - limit.div_ceil(RESERVED_DIVISOR))
+}
+
 /// How long a caller may have to wait for its answer.
 fn time_limit(arrival: &Arrival) -> Duration {
     let limit = arrival.route.timeout;
--- a/crates/marigoldloom_front/src/listener.rs
+++ b/crates/marigoldloom_front/src/listener.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::Duration;
-use std::{convert, io, pin};
+use std::time::{Duration, Instant};
+use std::{convert, io, mem, pin};
 
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
@@ -28,6 +28,9 @@
 /// Pause after a failed accept, e.g. when the process has no free file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
+/// Time between two log lines about connections that aren't served.
+const REPORT_PERIOD: Duration = Duration::from_secs(1);
+
 /// Smallest buffer that hyper accepts for a request's head, in bytes.
 const MIN_BUFFER: usize = 8 * 1024;
 
@@ -49,6 +52,11 @@
     /// Limits for a new connection.
     fn limits(&self) -> Limits;
 
+    /// Largest number of open connections. Further ones are closed before anything is read from them.
+    fn max_connections(&self) -> usize {
+        usize::MAX
+    }
+
     /// Room for headers that senders add to callers' requests.
     fn added_head(&self) -> AddedHead {
         AddedHead::default()
@@ -80,14 +88,20 @@
     }
 
     fn count(&self) -> Counted {
-        self.open.fetch_add(1, Ordering::Relaxed);
-        Counted(Arc::clone(&self.open))
+        Counted::new(&self.open)
     }
 }
 
 /// A connection or listener that counts as open until it is dropped.
 struct Counted(Arc<AtomicUsize>);
 
+impl Counted {
+    fn new(open: &Arc<AtomicUsize>) -> Self {
+        open.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(open))
+    }
+}
+
 impl Drop for Counted {
     fn drop(&mut self) {
         self.0.fetch_sub(1, Ordering::Relaxed);
@@ -106,43 +120,93 @@
 /// Serves the connections of `listener` until `stop` is used.
 pub fn serve(listener: TcpListener, handler: impl Handler, stop: Stop) {
     let listening = stop.count();
+    let server = Server {
+        listener,
+        limit: handler.max_connections(),
+        handler,
+        stop,
+        open: Arc::default(),
+    };
     task::spawn(async move {
-        let accepting = pin::pin!(accept(&listener, &handler, &stop));
-        let stopped = pin::pin!(stop.stopped.cancelled());
+        let accepting = pin::pin!(server.accept());
+        let stopped = pin::pin!(server.stop.stopped.cancelled());
         future::select(accepting, stopped).await;
         // Connections that are left in the accept queue would be reset.
-        while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
-            task::spawn(serve_connection(
-                stream,
-                handler.clone(),
-                stop.clone(),
-                stop.count(),
-            ));
+        while let Some(Ok((stream, _))) = server.listener.accept().now_or_never() {
+            server.start(stream);
         }
         drop(listening);
     });
 }
 
-async fn accept(listener: &TcpListener, handler: &impl Handler, stop: &Stop) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                task::spawn(serve_connection(
-                    stream,
-                    handler.clone(),
-                    stop.clone(),
-                    stop.count(),
-                ));
-            }
-            Err(error) => {
-                tracing::warn!(%error, "connection not accepted");
-                task::sleep(ACCEPT_PAUSE).await;
+/// A listener and its connections.
+struct Server<H> {
+    listener: TcpListener,
+    handler: H,
+    stop: Stop,
+    /// Number of open connections of this listener.
+    open: Arc<AtomicUsize>,
+    /// Largest number of them.
+    limit: usize,
+}
+
+impl<H: Handler> Server<H> {
+    async fn accept(&self) {
+        let mut failures = Report::default();
+        let mut excess = Report::default();
+        loop {
+            match self.listener.accept().await {
+                Ok((stream, _)) if self.open.load(Ordering::Relaxed) < self.limit => {
+                    self.start(stream);
+                }
+                Ok((stream, _)) => {
+                    drop(stream);
+                    if let Some(count) = excess.count() {
+                        tracing::warn!(count, limit = self.limit, "too many connections");
+                    }
+                }
+                Err(error) => {
+                    if let Some(count) = failures.count() {
+                        tracing::warn!(count, %error, "connections not accepted");
+                    }
+                    task::sleep(ACCEPT_PAUSE).await;
+                }
             }
         }
     }
+
+    fn start(&self, stream: TcpStream) {
+        let counted = [self.stop.count(), Counted::new(&self.open)];
+        let (handler, stop) = (self.handler.clone(), self.stop.clone());
+        task::spawn(async move {
+            serve_connection(stream, handler, stop).await;
+            drop(counted);
+        });
+    }
+}
+
+/// Collects events for a log line in each [`REPORT_PERIOD`].
+#[derive(Debug, Default)]
+struct Report {
+    last: Option<Instant>,
+    count: u64,
+}
+
+impl Report {
+    /// Counts an event. If a line is due, returns the number of events since the last one.
+    fn count(&mut self) -> Option<u64> {
+        self.count += 1;
+        let now = Instant::now();
+        let recent = |last: Instant| now.duration_since(last) < REPORT_PERIOD;
+        if self.last.is_some_and(recent) {
+            return None;
+        }
+        self.last = Some(now);
+        Some(mem::take(&mut self.count))
+    }
 }
 
-async fn serve_connection(stream: TcpStream, handler: impl Handler, stop: Stop, _counted: Counted) {
+async fn serve_connection(stream: TcpStream, handler: impl Handler, stop: Stop) {
     if let Err(error) = stream.set_nodelay(true) {
         tracing::debug!(%error, "connection ended before it was served");
         return;
--- a/crates/marigoldloom_runtime/src/lib.rs
+++ b/crates/marigoldloom_runtime/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod async_std_runtime;
 pub mod clock;
 pub mod delay;
+pub mod descriptors;
 pub mod runtime;
 pub mod scope;
 pub mod time;
