Saturate sums and products of numbers from records

A replica whose record states 1,073,741,824 slots never got a request: four times that number is 0 as an unsigned 32-bit integer. With a MaxHeaderBytes near the greatest integer, the room for the headers that instances add wrapped around, hyper refused the buffer size by a panic, and each connection of other instances ended unserved: no forwarded query, no record and no strike arrived any more. In builds with overflow checks, more than 2^30 slots also ended the task that follows the platform.

Both operations saturate now.

Evidence: the new test failed before, in the release build with "not answered: [/Slots =: callers, /Slots =: peers, /Limits/MaxHeaderBytes =: peers]" and "the max_buf_size cannot be smaller than the minimum that h1 specifies", in the test build with "attempt to multiply with overflow" and no ready instance. Found by sending random records to a test build.

--- a/crates/marigoldloom_catalog/src/view.rs
+++ b/crates/marigoldloom_catalog/src/view.rs
@@ -188,7 +188,7 @@
             snapshot: snapshot(),
             shards: vec![0],
             slots: replica.slots.max(1),
-            cold_slots: replica.slots.max(1) * COLD_REQUESTS_PER_SLOT,
+            cold_slots: replica.slots.max(1).saturating_mul(COLD_REQUESTS_PER_SLOT),
             connections: service.map_or(1, |s| s.connections),
             pace,
             usable: state.usable,
--- a/crates/marigoldloom_front/src/listener.rs
+++ b/crates/marigoldloom_front/src/listener.rs
@@ -225,7 +225,7 @@
         .timer(HyperRuntime(AsyncStd::new()))
         // hyper counts from the end of the previous request, so this also limits idle time.
         .header_read_timeout(limits.idle)
-        .max_buf_size(limits.head.max(MIN_BUFFER) + added.bytes)
+        .max_buf_size(limits.head.max(MIN_BUFFER).saturating_add(added.bytes))
         .auto_date_header(false);
     if added.headers > 0 {
         builder.max_headers(MAX_HEADERS + added.headers);
