Let one fingerprint decide which instance tries a refused request

After a crash of all replicas, callers got 503 for a harmless request for longer than the first trial takes, which is due after 10 s: a_harmless_request_is_served_again_after_coincident_crashes failed now and then with "still refused: [false, false, false]".

A request has two fingerprints, and an instance tried it only where it came first for both. The order follows the latest strike. Each strike is recorded for both fingerprints with a clock reading of its own, so that of two instances that notice an end within the same milliseconds one may be first for one fingerprint and the other for the other. Then nobody came first, and the next trial was due 15 s later. With splits, strikes at several services have the same effect.

begin_trial now takes all refused fingerprints at once, and the last, common one decides the order.

The existing test of trials passes its fingerprint as a slice of one; what it checks is the same.

--- a/crates/marigoldloom_limits/src/fingerprint.rs
+++ b/crates/marigoldloom_limits/src/fingerprint.rs
@@ -359,23 +359,30 @@
         }
     }
 
-    /// Whether this instance may try the refused request: it has recorded strikes against it, and
-    /// instances with later strikes have let their time for it pass.
-    pub fn is_trial_due(&self, now: time::WallTime, fingerprint: Fingerprint) -> bool {
-        self.lock().is_trial_due(now, fingerprint)
-    }
-
-    /// Begins a trial of a refused request. Returns all strikes of this instance, to be sent to
-    /// peers; `None` if no trial is due.
-    pub fn begin_trial(&self, now: time::WallTime, fingerprint: Fingerprint) -> Option<Strikes> {
+    /// Begins a trial of a request of which all fingerprints in `refused` are refused, if this
+    /// instance may try it: it has recorded strikes against each of them, and instances with later
+    /// strikes have let their time for it pass. Returns all strikes of this instance against each
+    /// fingerprint, to be sent to peers; `None` if no trial is due.
+    ///
+    /// The last fingerprint decides the order of the instances. Each fingerprint may order them
+    /// differently, and no instance would come first for all of them.
+    pub fn begin_trial(
+        &self,
+        now: time::WallTime,
+        refused: &[Fingerprint],
+    ) -> Option<Vec<(Fingerprint, Strikes)>> {
         let mut inner = self.lock();
-        if !inner.is_trial_due(now, fingerprint) {
+        let later = inner.later_instances(*refused.last()?);
+        if !refused.iter().all(|f| inner.is_trial_due(now, *f, later)) {
             return None;
         }
-        let strikes = &mut inner.own.get_mut(&fingerprint)?.strikes;
-        strikes.trials += 1;
-        strikes.latest = now;
-        Some(strikes.clone())
+        let begun = refused.iter().map(|fingerprint| {
+            let strikes = &mut inner.own.get_mut(fingerprint)?.strikes;
+            strikes.trials += 1;
+            strikes.latest = now;
+            Some((*fingerprint, strikes.clone()))
+        });
+        begun.collect()
     }
 
     /// Claims the canary run of `fingerprint`: the run on a single shard that shows whether the
@@ -410,16 +417,27 @@
         runs.map(|s| s.latest).max().unwrap_or_default()
     }
 
-    fn is_trial_due(&self, now: time::WallTime, fingerprint: Fingerprint) -> bool {
-        let total = self.total(now, fingerprint);
+    /// Strikes of this instance that no run without a crash has cancelled.
+    fn own_strikes(&self, fingerprint: Fingerprint) -> Option<&Strikes> {
         let own = self.own.get(&fingerprint).map(|o| &o.strikes);
-        let own = own.filter(|s| s.count > 0 && s.latest > self.exonerated_at(fingerprint));
+        own.filter(|s| s.count > 0 && s.latest > self.exonerated_at(fingerprint))
+    }
+
+    /// Number of instances that try a refused request before this one.
+    fn later_instances(&self, fingerprint: Fingerprint) -> u32 {
+        let own = self.own_strikes(fingerprint).map(Strikes::rank);
         let peers = self.peers.get(&fingerprint);
         let peers = peers.into_iter().flat_map(BTreeMap::values);
-        let later = own.map(|own| peers.filter(|s| s.count > 0 && s.rank() >= own.rank()));
-        match (later.map(Iterator::count), trial_delay(total.trials)) {
-            (Some(later), Some(delay)) if total.count >= STRIKE_LIMIT => {
-                let later = u32::try_from(later).unwrap_or(u32::MAX);
+        let later = peers.filter(|s| s.count > 0 && Some(s.rank()) >= own);
+        u32::try_from(later.count()).unwrap_or(u32::MAX)
+    }
+
+    /// Whether this instance has recorded strikes against a refused fingerprint and the `later`
+    /// instances before it have let their time for a trial pass.
+    fn is_trial_due(&self, now: time::WallTime, fingerprint: Fingerprint, later: u32) -> bool {
+        let total = self.total(now, fingerprint);
+        match (self.own_strikes(fingerprint), trial_delay(total.trials)) {
+            (Some(_), Some(delay)) if total.count >= STRIKE_LIMIT => {
                 let delay = delay.saturating_add(TRIAL_STAGGER.saturating_mul(later));
                 now.since(total.latest) >= delay
             }
--- a/crates/marigoldloom_limits/tests/strikes.rs
+++ b/crates/marigoldloom_limits/tests/strikes.rs
@@ -1,6 +1,8 @@
 //! Tests how many strikes the ends of upstreams add up to.
 
-use marigoldloom_limits::fingerprint::{CrashTracker, FatalRun, Fingerprint, Status, Strikes};
+use marigoldloom_limits::fingerprint::{
+    CrashTracker, FatalRun, Fingerprint, STRIKE_LIMIT, Status, Strikes,
+};
 use marigoldloom_runtime::time::WallTime;
 
 /// A run that ended with its upstream.
@@ -219,12 +221,15 @@
         for second in 0..500 {
             for from in 0..4 {
                 let now = WallTime(last + second * 1_000);
-                let Some(own) = trackers[from].begin_trial(now, fingerprint) else {
+                let Some(own) = trackers[from].begin_trial(now, &[fingerprint]) else {
                     continue;
                 };
+                let [(_, own)] = &own[..] else {
+                    unreachable!("there is one fingerprint");
+                };
                 trials += 1;
                 assert!(second >= 10, "{}: a trial after {second} s", case.name);
-                share(&trackers, from, fingerprint, &own, |_| true);
+                share(&trackers, from, fingerprint, own, |_| true);
                 let own = match case.harmless {
                     true => trackers[from].clear_strikes(now, fingerprint),
                     false => trackers[from].add_strike(now, fingerprint, None),
@@ -241,3 +246,69 @@
         assert_eq!(refused, expected, "{}", case.name);
     }
 }
+
+/// Guards against a refused request that nobody tries: the instance with the latest strike against
+/// one of its fingerprints isn't the one with the latest strike against the other.
+#[test]
+fn fingerprints_of_a_request_agree_on_who_tries_it() {
+    struct Case {
+        name: &'static str,
+        /// Instance, index of the fingerprint and time of each strike, in milliseconds.
+        strikes: Vec<(usize, usize, u64)>,
+    }
+    let cases = [
+        Case {
+            name: "in the same order",
+            strikes: vec![(0, 0, 1_000), (0, 1, 1_000), (1, 0, 1_001), (1, 1, 1_001)],
+        },
+        Case {
+            name: "both record an end at the same time",
+            strikes: vec![(0, 0, 1_000), (1, 0, 1_001), (1, 1, 1_001), (0, 1, 1_002)],
+        },
+        Case {
+            name: "one records a later end at another service",
+            strikes: vec![
+                (0, 0, 1_000),
+                (0, 1, 1_000),
+                (1, 0, 1_200),
+                (1, 1, 1_200),
+                (0, 1, 1_900),
+            ],
+        },
+    ];
+    let fingerprints = [b"service", b"callers"].map(|body| Fingerprint::new(&["search"], body));
+    for case in cases {
+        let trackers = [1, 2].map(CrashTracker::new);
+        let mut records = Vec::new();
+        for (from, fingerprint, at) in &case.strikes {
+            let fingerprint = fingerprints[*fingerprint];
+            for _ in 0..STRIKE_LIMIT {
+                let own = trackers[*from].add_strike(WallTime(*at), fingerprint, None);
+                records.push((*from, fingerprint, own.unwrap()));
+            }
+        }
+        for (from, fingerprint, own) in &records {
+            share(&trackers, *from, *fingerprint, own, |_| true);
+        }
+        let mut trials = Vec::new();
+        for second in 0..20 {
+            for (from, tracker) in trackers.iter().enumerate() {
+                let now = WallTime(2_000 + second * 1_000);
+                for (fingerprint, own) in tracker
+                    .begin_trial(now, &fingerprints)
+                    .into_iter()
+                    .flatten()
+                {
+                    trials.push((from, second));
+                    share(&trackers, from, fingerprint, &own, |_| true);
+                }
+            }
+        }
+        let seconds: Vec<_> = trials.iter().map(|(_, second)| *second).collect();
+        assert!(
+            matches!(seconds[..], [9..=10, 9..=10]),
+            "{}: {trials:?}",
+            case.name
+        );
+    }
+}
--- a/crates/marigoldloom_query/src/crashes.rs
+++ b/crates/marigoldloom_query/src/crashes.rs
@@ -6,7 +6,7 @@
 use marigoldloom_limits::fingerprint;
 use marigoldloom_routing::health;
 use marigoldloom_runtime::runtime::Runtime;
-use marigoldloom_runtime::time::{Timestamp, WallTime};
+use marigoldloom_runtime::time::Timestamp;
 use marigoldloom_upstream::{message, upstream};
 
 use crate::hooks::Hooks;
@@ -130,17 +130,14 @@
 
     /// Begins a trial of the request if it is refused and this instance is to try it: strikes may have
     /// come from crashes that had other causes. A trial that an upstream survives clears them.
-    pub(crate) fn begin_trial(&self, now: WallTime) -> bool {
-        let tracker = &self.core.crash_tracker;
+    pub(crate) fn begin_trial(&self) -> bool {
         let refused = |f: &fingerprint::Fingerprint| {
             let count = self.core.suspected_count(*f);
             count >= fingerprint::STRIKE_LIMIT
         };
         let refused: Vec<_> = self.fingerprints().filter(refused).collect();
         let due = self.core.settings.canary == engine::CanaryPolicy::AfterStrike
-            && !refused.is_empty()
-            && refused.iter().all(|f| tracker.is_trial_due(now, *f))
-            && refused.iter().all(|f| self.core.begin_trial(*f));
+            && self.core.begin_trial(&refused);
         self.trial.fetch_or(due, Ordering::Relaxed);
         due
     }
--- a/crates/marigoldloom_query/src/gather.rs
+++ b/crates/marigoldloom_query/src/gather.rs
@@ -206,7 +206,7 @@
     /// quarantined, at its service or at all services.
     pub(crate) fn check_quarantine(&self) -> Result<bool, Refusal> {
         let now = self.core.rt.wall();
-        if self.trial.load(Ordering::Relaxed) || self.begin_trial(now) {
+        if self.trial.load(Ordering::Relaxed) || self.begin_trial() {
             return Ok(false);
         }
         let mut harmless = true;
--- a/crates/marigoldloom_query/src/state.rs
+++ b/crates/marigoldloom_query/src/state.rs
@@ -329,13 +329,13 @@
         }
     }
 
-    /// Begins a trial of a refused request, unless another one has begun.
-    pub(crate) fn begin_trial(&self, fingerprint: fingerprint::Fingerprint) -> bool {
-        let own = self.crash_tracker.begin_trial(self.rt.wall(), fingerprint);
-        if let Some(own) = &own {
-            self.report_strikes(fingerprint, own, None, "a trial begins");
+    /// Begins a trial of a request with these refused fingerprints, unless another one has begun.
+    pub(crate) fn begin_trial(&self, refused: &[fingerprint::Fingerprint]) -> bool {
+        let begun = self.crash_tracker.begin_trial(self.rt.wall(), refused);
+        for (fingerprint, own) in begun.iter().flatten() {
+            self.report_strikes(*fingerprint, own, None, "a trial begins");
         }
-        own.is_some()
+        begun.is_some()
     }
 
     fn report_strikes(
