--- a/crates/marigoldloom_standin/src/users/store.rs
+++ b/crates/marigoldloom_standin/src/users/store.rs
@@ -46,8 +46,19 @@
     Stalled,
 }
 
+/// Where the fields beside the objects stand in a response.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Layout {
+    /// Before the objects.
+    #[default]
+    FieldsFirst,
+    /// After the objects.
+    FieldsLast,
+}
+
 struct State {
     mode: Mode,
+    layout: Layout,
     paging: Paging,
     page_size: usize,
     revision: u64,
@@ -68,6 +79,7 @@
     fn default() -> Self {
         Self {
             mode: Mode::default(),
+            layout: Layout::default(),
             paging: Paging::default(),
             page_size: PAGE_SIZE,
             revision: 0,
@@ -136,6 +148,18 @@
         self.put(kind, name, Value::String(mark));
     }
 
+    /// Creates or replaces an object that readers get as `bytes` in place of its metadata and content.
+    pub fn put_raw_object(&self, kind: &str, name: &str, bytes: impl Into<Vec<u8>>) {
+        let mark = format!("raw-object-{name}");
+        let mut state = self.state();
+        state.raw.insert(mark.clone(), bytes.into());
+        state.revision += 1;
+        let object = Value::String(mark);
+        let key = (kind.to_owned(), name.to_owned());
+        state.objects.insert(key, object.clone());
+        state.record(kind, false, object);
+    }
+
     /// Removes an object.
     pub fn remove(&self, kind: &str, name: &str) {
         let mut state = self.state();
@@ -163,6 +187,11 @@
         self.state().page_size = size;
     }
 
+    /// Sets where the fields beside the objects stand in responses.
+    pub fn set_layout(&self, layout: Layout) {
+        self.state().layout = layout;
+    }
+
     /// Sets which page of a list the store returns.
     pub fn set_paging(&self, paging: Paging) {
         self.state().paging = paging;
@@ -279,12 +308,17 @@
             .collect();
         let more = items.len() > self.page_size || self.paging == Paging::Stalled;
         items.truncate(self.page_size);
-        let body = json!({"items": items, "HasMore": more, "AsOf": self.revision});
-        self.respond(&body)
+        let fields = format!("\"HasMore\":{more},\"AsOf\":{}", self.revision);
+        self.respond("items", &Value::Array(items), &fields)
     }
 
-    fn respond(&self, body: &Value) -> Response {
-        let mut bytes = body.to_string().into_bytes();
+    /// Returns a response with `objects` in the array `array`, and the other `fields`.
+    fn respond(&self, array: &str, objects: &Value, fields: &str) -> Response {
+        let body = match self.layout {
+            Layout::FieldsFirst => format!("{{{fields},\"{array}\":{objects}}}"),
+            Layout::FieldsLast => format!("{{\"{array}\":{objects},{fields}}}"),
+        };
+        let mut bytes = body.into_bytes();
         for (mark, raw) in &self.raw {
             let mark = format!("\"{mark}\"").into_bytes();
             while let Some(at) = bytes.windows(mark.len()).position(|w| w == mark) {
@@ -297,7 +331,7 @@
     /// Returns an object as readers get it, with redirected addresses.
     fn with_redirects(&self, object: &Value) -> Value {
         let mut object = object.clone();
-        let fields = object["spec"].as_object_mut();
+        let fields = object.get_mut("spec").and_then(Value::as_object_mut);
         for value in fields.into_iter().flat_map(|f| f.values_mut()) {
             let to = value.as_str().and_then(|from| self.redirects.get(from));
             if let Some(to) = to {
@@ -323,8 +357,8 @@
             .map(|e| json!({"Removed": e.removed, "Object": self.with_redirects(&e.object)}))
             .collect();
         (due || !events.is_empty()).then(|| {
-            let body = json!({"events": events, "AsOf": self.revision});
-            self.respond(&body)
+            let fields = format!("\"AsOf\":{}", self.revision);
+            self.respond("events", &Value::Array(events), &fields)
         })
     }
 }
