Keep the time of the latest strike when an earlier one is counted after it

A strike's time is read before the tracker is locked. Of two attempts that end at the same time the one with the earlier time may be counted last, and the time of the instance's latest strike then went back. Other instances ignore a record that is older than the one they know, so that they kept the later time: they waited for this instance to try the request, and it waited for them.

The time of the latest strike never decreases now.

The new case failed before: "a strike is counted after one with a later time: []".

--- a/crates/marigoldloom_limits/src/fingerprint.rs
+++ b/crates/marigoldloom_limits/src/fingerprint.rs
@@ -252,7 +252,8 @@
         }
         own.strikes.count += 1;
         own.strikes.origin = self.origin;
-        own.strikes.latest = now;
+        // Strikes of several requests may be counted in another order than their times.
+        own.strikes.latest = own.strikes.latest.max(now);
         own.strikes.ends.extend(run.map(|run| run.end(now)));
         let excess = own.strikes.ends.len().saturating_sub(MAX_ENDS);
         own.strikes.ends.drain(..excess);
--- a/crates/marigoldloom_limits/tests/strikes.rs
+++ b/crates/marigoldloom_limits/tests/strikes.rs
@@ -265,6 +265,17 @@
             name: "both record an end at the same time",
             strikes: vec![(0, 0, 1_000), (1, 0, 1_001), (1, 1, 1_001), (0, 1, 1_002)],
         },
+        Case {
+            name: "a strike is counted after one with a later time",
+            strikes: vec![
+                (0, 0, 1_000),
+                (0, 1, 1_000),
+                (1, 0, 1_002),
+                (1, 1, 1_002),
+                (1, 0, 998),
+                (1, 1, 998),
+            ],
+        },
         Case {
             name: "one records a later end at another service",
             strikes: vec![
