Log unusable objects of a list in one line

Each object of another writer that couldn't be used was logged with each list that held it; with 30,000 of them the log held nothing else, and registrations of another format were logged with each count of the instances.

The stand-in replaced the marks of raw objects one by one, which took so long with 400 of them that other tests of the file missed their limits in one run; it now reads a response once.

--- a/crates/marigoldloom_catalog/src/catalog.rs
+++ b/crates/marigoldloom_catalog/src/catalog.rs
@@ -21,6 +21,9 @@
 /// about every 1.2 s, so that by then each one that has turned cold has said so.
 const RETURN_TIME: Duration = Duration::from_secs(3);
 
+/// Number of invalid records that a log line describes.
+const LOGGED_RECORDS: usize = 3;
+
 /// Where an instance runs, and the regions of all failure domains.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Place {
@@ -101,8 +104,9 @@
         for name in removed {
             self.set(kind, name, None, now, recovered_at);
         }
+        log_invalid(kind, records.iter().map(|(name, record)| (name, record)));
         for (name, record) in records {
-            self.set(kind, name, Some(record), now, recovered_at);
+            self.apply(kind, name, Some(record), now, recovered_at);
         }
         self.listed_kinds.insert(kind);
     }
@@ -118,14 +122,24 @@
         record: Option<Record>,
         now: Timestamp,
         recovered_at: RecoveredAt,
+    ) {
+        log_invalid(kind, record.iter().map(|record| (&name, record)));
+        self.apply(kind, name, record, now, recovered_at);
+    }
+
+    fn apply(
+        &mut self,
+        kind: Kind,
+        name: Arc<str>,
+        record: Option<Record>,
+        now: Timestamp,
+        recovered_at: RecoveredAt,
     ) {
         match (kind, record) {
-            (_, Some(Record::Invalid(invalid))) => {
-                tracing::warn!(%kind, %name, %invalid, "a record can't be used");
-                if kind == Kind::Replicas {
-                    self.replicas.remove(&name);
-                }
+            (Kind::Replicas, Some(Record::Invalid(_))) => {
+                self.replicas.remove(&name);
             }
+            (_, Some(Record::Invalid(_))) => {}
             (Kind::Configuration, Some(Record::Configuration(new))) => self.set_configuration(*new),
             (Kind::Replicas, Some(Record::Replica(replica))) => self.set_replica(replica, now),
             (Kind::Replicas, None) => self.remove_replica(&name, recovered_at.grace(now)),
@@ -272,6 +286,24 @@
     }
 }
 
+/// Logs the number of invalid records and the first of them, in one line: other writers may have made
+/// many.
+fn log_invalid<'a>(kind: Kind, records: impl Iterator<Item = (&'a Arc<str>, &'a Record)>) {
+    let mut count = 0;
+    let mut first = Vec::new();
+    for (name, record) in records {
+        if let Record::Invalid(invalid) = record {
+            count += 1;
+            if first.len() < LOGGED_RECORDS {
+                first.push(format!("{name}: {invalid}"));
+            }
+        }
+    }
+    if count > 0 {
+        tracing::warn!(%kind, count, first = first.join("; "), "records can't be used");
+    }
+}
+
 /// Returns the names in `known` that are not in `listed`.
 fn not_listed<'a>(
     known: impl Iterator<Item = &'a Arc<str>>,
--- a/crates/marigoldloom_standin/src/users/store.rs
+++ b/crates/marigoldloom_standin/src/users/store.rs
@@ -318,14 +318,24 @@
             Layout::FieldsFirst => format!("{{{fields},\"{array}\":{objects}}}"),
             Layout::FieldsLast => format!("{{\"{array}\":{objects},{fields}}}"),
         };
-        let mut bytes = body.into_bytes();
-        for (mark, raw) in &self.raw {
-            let mark = format!("\"{mark}\"").into_bytes();
-            while let Some(at) = bytes.windows(mark.len()).position(|w| w == mark) {
-                bytes.splice(at..at + mark.len(), raw.iter().copied());
-            }
+        Response::new(StatusCode::Ok).with_body(self.with_raw(&body))
+    }
+
+    /// Returns a response with the raw bytes in place of the strings that stand for them.
+    fn with_raw(&self, body: &str) -> Vec<u8> {
+        let mut bytes = Vec::with_capacity(body.len());
+        let mut rest = body;
+        while let Some(start) = rest.find("\"raw-") {
+            let (before, mark) = rest.split_at(start);
+            let end = mark[1..].find('"').map_or(mark.len(), |len| len + 2);
+            let (mark, after) = mark.split_at(end);
+            let raw = self.raw.get(mark.trim_matches('"'));
+            bytes.extend_from_slice(before.as_bytes());
+            bytes.extend_from_slice(raw.map_or(mark.as_bytes(), Vec::as_slice));
+            rest = after;
         }
-        Response::new(StatusCode::Ok).with_body(bytes)
+        bytes.extend_from_slice(rest.as_bytes());
+        bytes
     }
 
     /// Returns an object as readers get it, with redirected addresses.
