Use a configuration of which parts can't be decoded

One route with an unknown kind, a missing field or a number written as 1500.0 made the whole configuration unusable. Running instances kept the one before, and a restarted instance served nothing.

Routes, services and limits are now decoded one by one. A route that can't be used keeps its place, so that its requests don't go to the route of a shorter prefix; they get 503 with `Retry-After` before their body is read. A service without usable settings gets those that every replica can take: one connection, and the lowest rate while cold. What can't be decoded is logged once, when the configuration comes into force.

--- a/crates/marigoldloom_catalog/src/catalog.rs
+++ b/crates/marigoldloom_catalog/src/catalog.rs
@@ -183,6 +183,16 @@
             routes = new.routes.len(),
             "configuration in force"
         );
+        if !new.invalid.is_empty() {
+            let first = new.invalid.iter().take(LOGGED_RECORDS);
+            let first: Vec<_> = first.map(ToString::to_string).collect();
+            tracing::warn!(
+                version = new.version,
+                count = new.invalid.len(),
+                first = first.join("; "),
+                "parts of the configuration can't be used"
+            );
+        }
         self.previous = self.current.replace(new);
     }
 
--- a/crates/marigoldloom_catalog/src/configuration.rs
+++ b/crates/marigoldloom_catalog/src/configuration.rs
@@ -6,6 +6,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::source::Invalid;
+
 /// One version of the whole configuration.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Deserialize, Serialize)]
@@ -19,6 +21,9 @@
     pub services: BTreeMap<Arc<str>, Service>,
     /// Limits on callers' requests and connections.
     pub limits: Limits,
+    /// Parts of the record that could not be decoded.
+    #[serde(default)]
+    pub invalid: Vec<Invalid>,
 }
 
 /// How requests to one host and path prefix are served.
@@ -59,6 +64,9 @@
     Split(Vec<Share>),
     /// Several services that are the shards of an index; a request goes to all of them.
     Scatter(Scatter),
+    /// None, because the route could not be decoded; requests are refused. The route stays in the
+    /// configuration, so that they don't go to that of a shorter prefix.
+    Unusable,
 }
 
 /// A service's share of a route's requests.
@@ -108,6 +116,14 @@
     pub cold_rate: f64,
 }
 
+impl Service {
+    /// Settings that every replica can take, for a service whose settings could not be decoded.
+    pub const MOST_RESTRICTED: Self = Self {
+        connections: 1,
+        cold_rate: f64::MIN_POSITIVE,
+    };
+}
+
 /// Limits on callers' requests and connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Deserialize, Serialize)]
--- a/crates/marigoldloom_catalog/src/view.rs
+++ b/crates/marigoldloom_catalog/src/view.rs
@@ -56,7 +56,7 @@
 }
 
 /// Returns the shard lists of a route, each as the names of its services: one list for a single
-/// service or a scatter, and one for each share of a split.
+/// service or a scatter, one for each share of a split, and none for an unusable route.
 pub fn shard_lists(route: &Route) -> Vec<Vec<Arc<str>>> {
     match &route.backend {
         Backend::Single(service) => vec![vec![Arc::clone(service)]],
@@ -65,6 +65,7 @@
             shares.collect()
         }
         Backend::Scatter(scatter) => vec![scatter.shards.clone()],
+        Backend::Unusable => Vec::new(),
     }
 }
 
--- a/crates/marigoldloom_catalog/tests/support/mod.rs
+++ b/crates/marigoldloom_catalog/tests/support/mod.rs
@@ -222,6 +222,7 @@
         routes: vec![route],
         services: BTreeMap::from([(Arc::from("index"), service)]),
         limits: Limits::default(),
+        invalid: Vec::new(),
     }))
 }
 
--- a/crates/marigoldloom_front/src/front.rs
+++ b/crates/marigoldloom_front/src/front.rs
@@ -168,6 +168,11 @@
         if caller.id.is_none() {
             return Err(Rejection::NoId { target: shown() });
         }
+        if route.backend == Backend::Unusable {
+            return Err(Rejection::UnusableRoute {
+                route: rejection::start_of(&route.name),
+            });
+        }
         let limit = view.limits.body;
         let body = body::read_counted(body, limit, &self.shared.memory).await;
         let (body, counted) = body.map_err(|error| match error {
@@ -228,6 +233,7 @@
                 Some(service) => self.answer_single(arrival, service).await,
                 None => self.refuse(arrival, &Refusal::not_run(Kind::UnknownService)),
             },
+            Backend::Unusable => self.refuse(arrival, &Refusal::not_run(Kind::UnknownService)),
         }
     }
 
@@ -351,7 +357,9 @@
                 repeated: false,
                 error_replies: match route.backend {
                     Backend::Scatter(_) => ErrorReplies::Discard,
-                    Backend::Single(_) | Backend::Split(_) => ErrorReplies::Relay,
+                    Backend::Single(_) | Backend::Split(_) | Backend::Unusable => {
+                        ErrorReplies::Relay
+                    }
                 },
             },
             scope,
--- a/crates/marigoldloom_front/src/rejection.rs
+++ b/crates/marigoldloom_front/src/rejection.rs
@@ -21,6 +21,12 @@
         /// Start of the path.
         path: String,
     },
+    /// The route of the request could not be decoded.
+    #[display("the configuration's route {route:?} can't be used")]
+    UnusableRoute {
+        /// Start of the route's name.
+        route: String,
+    },
     /// The request has no host.
     #[display("the request to {target:?} has no host or an invalid one")]
     NoHost {
@@ -63,7 +69,9 @@
     /// HTTP status of the response.
     pub(crate) const fn status(&self) -> StatusCode {
         match self {
-            Self::NotReady | Self::NoMemory { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NotReady | Self::NoMemory { .. } | Self::UnusableRoute { .. } => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::NoRoute { .. } => StatusCode::NOT_FOUND,
             Self::NoHost { .. } | Self::NoPath { .. } | Self::NoId { .. } | Self::Truncated => {
                 StatusCode::BAD_REQUEST
