Bound the memory of answers that callers don't read

A process was ended for its memory, or its machine ran out of it, when callers did not read large answers: 300 callers with 3.5 MB each took 1,013 MiB of the 260 that a machine has, for as long as their connections were open, also those of callers that were gone.

The memory of a body was counted only until it had been read from the replica. hyper then copied each answer into the connection's buffer, which kept the size of the largest one while the connection was idle. Nothing ended a connection whose caller didn't read.

An answer now counts until it is sent. Answers that are being sent may take half of the memory for responses, so that callers which don't read leave the rest to answers that are being read; beyond it a request gets 502, as it has run. hyper sends bodies with vectored writes, without a copy. The system ends connections whose peer has acknowledged nothing for the idle timeout.

--- a/crates/marigoldloom_front/src/body.rs
+++ b/crates/marigoldloom_front/src/body.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
+use bytes::Bytes;
 use derive_more::derive;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -15,6 +16,10 @@
 /// Part of an instance's memory that a single sender may take.
 const SENDER_DIVISOR: usize = 4;
 
+/// Part of an instance's memory that answers may take until they are sent. Callers that don't read
+/// theirs leave the rest for answers that are being read.
+const SENDING_DIVISOR: usize = 2;
+
 /// Why a body can't be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(derive::Display, derive::Error)]
@@ -57,9 +62,18 @@
 
     /// Creates the part of this memory that one sender may use.
     pub(crate) fn for_sender(&self) -> Self {
+        self.part(SENDER_DIVISOR)
+    }
+
+    /// Creates the part of this memory that answers may use until they are sent.
+    pub(crate) fn for_sending(&self) -> Self {
+        self.part(SENDING_DIVISOR)
+    }
+
+    fn part(&self, divisor: usize) -> Self {
         Self {
             whole: Some(Arc::new(self.clone())),
-            ..Self::new(self.limit / SENDER_DIVISOR)
+            ..Self::new(self.limit / divisor)
         }
     }
 
@@ -100,6 +114,36 @@
     }
 }
 
+/// A body that is counted until it is dropped.
+struct Held {
+    bytes: Vec<u8>,
+    _counted: Counted,
+}
+
+impl AsRef<[u8]> for Held {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+/// Returns the body of a response. It uses `memory` until it has been sent or its connection has ended.
+///
+/// # Errors
+///
+/// [`Error::NoMemory`] if too little is left.
+pub(crate) fn hold(bytes: Vec<u8>, memory: &Memory) -> Result<Bytes, Error> {
+    let counted = bytes.capacity().saturating_sub(UNCOUNTED);
+    let taken = memory.take(counted);
+    taken.map_err(|limit| Error::NoMemory { limit })?;
+    Ok(Bytes::from_owner(Held {
+        bytes,
+        _counted: Counted {
+            memory: memory.clone(),
+            bytes: counted,
+        },
+    }))
+}
+
 /// A buffer whose capacity is counted.
 struct Buffer {
     bytes: Vec<u8>,
--- a/crates/marigoldloom_front/src/forward.rs
+++ b/crates/marigoldloom_front/src/forward.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Response};
 use http_body_util::Full;
 use marigoldloom_http::pool;
@@ -62,7 +61,7 @@
 #[derive(Debug)]
 pub(crate) enum Forwarded {
     /// The home instance answered.
-    Answered(Box<Response<Full<Bytes>>>),
+    Answered(Box<Response<Vec<u8>>>),
     /// The home instance did not run it; this instance serves it.
     NotRun {
         /// Whether it may have reached upstreams, which refused it.
@@ -201,7 +200,7 @@
     rt: &impl Runtime,
     peer: &Peer,
     query: &Query<'_>,
-) -> Result<Response<Full<Bytes>>, Error> {
+) -> Result<Response<Vec<u8>>, Error> {
     let network_delay = peer.network_delay.upper_bound();
     let request = || {
         let due = query.due.since(rt.now()).saturating_sub(network_delay);
@@ -222,7 +221,7 @@
     if reusable {
         lease.return_to_pool();
     }
-    Ok(Response::from_parts(head, Full::new(Bytes::from(body))))
+    Ok(Response::from_parts(head, body))
 }
 
 /// Removes and parses the headers of a forwarded query; `None` if one is missing or invalid,
--- a/crates/marigoldloom_front/src/front.rs
+++ b/crates/marigoldloom_front/src/front.rs
@@ -257,7 +257,10 @@
             Ok(answer) => {
                 self.record_coverage(arrival, &answer);
                 match answer.results.into_iter().next() {
-                    Some(part) => responses::into_response(part),
+                    Some(part) => {
+                        let response = responses::into_response(part, self.shared.homes.sending());
+                        response.unwrap_or_else(|error| self.withhold(arrival, &error))
+                    }
                     None => self.refuse(arrival, &Refusal::not_run(Kind::Unavailable)),
                 }
             }
@@ -283,7 +286,8 @@
         match result {
             Ok(answer) if answer.results.len() >= scatter.quorum() => {
                 self.record_coverage(arrival, &answer);
-                self.merged_response(&answer, scatter)
+                let response = self.merged_response(&answer, scatter);
+                response.unwrap_or_else(|error| self.withhold(arrival, &error))
             }
             Ok(answer) => {
                 let reason = answer.coverage.missing.first().map(|m| m.reason);
@@ -315,7 +319,12 @@
             deadline: query.deadline,
         };
         match forward::forward(&self.shared.rt, home, &forwarded).await {
-            Forwarded::Answered(response) => Some(*response),
+            Forwarded::Answered(response) => {
+                let (head, body) = response.into_parts();
+                let body = body::hold(body, self.shared.homes.sending());
+                let response = body.map(|body| Response::from_parts(head, Full::new(body)));
+                Some(response.unwrap_or_else(|error| self.withhold(arrival, &error)))
+            }
             Forwarded::NotRun { arrived } => {
                 query.policy.repeated = arrived;
                 None
@@ -367,10 +376,15 @@
         (query, guard)
     }
 
-    fn merged_response(&self, answer: &Answer, scatter: &Scatter) -> Response<Full<Bytes>> {
+    fn merged_response(
+        &self,
+        answer: &Answer,
+        scatter: &Scatter,
+    ) -> Result<Response<Full<Bytes>>, body::Error> {
         let parts = answer.results.iter().map(|p| p.body.0.as_slice());
         let body = merge::greatest(parts, scatter.top);
-        let mut response = Response::new(Full::new(Bytes::from(body)));
+        let body = body::hold(body, self.shared.homes.sending())?;
+        let mut response = Response::new(Full::new(body));
         let heads = answer.results.iter().filter_map(|p| p.head.as_ref());
         let infos = heads.map(|h| self.shared.dialect.parse_response(h.status, &h.headers));
         let signatures: Vec<_> = infos.filter_map(|m| m.signature).collect();
@@ -379,7 +393,7 @@
         self.shared
             .dialect
             .set_coverage(headers, &signatures, missing);
-        response
+        Ok(response)
     }
 
     /// Records an answer's coverage, and logs it if it is late or lacks shards.
@@ -421,6 +435,14 @@
         self.shared.metrics.record_request(&labels, latency);
     }
 
+    /// Refuses a request whose answer can't be kept until it is sent.
+    fn withhold(&self, arrival: &Arrival, error: &body::Error) -> Response<Full<Bytes>> {
+        tracing::info!(request = arrival.caller.id.as_deref(), %error, "answer not sent");
+        let refusal = Refusal::not_run(Kind::Unavailable);
+        let refusal = refusal.with_reason(Reason::Lost, RunStatus::Unknown);
+        self.refuse(arrival, &refusal)
+    }
+
     fn refuse(&self, arrival: &Arrival, refusal: &Refusal) -> Response<Full<Bytes>> {
         let status = responses::refusal_status(refusal);
         tracing::info!(
--- a/crates/marigoldloom_front/src/homes.rs
+++ b/crates/marigoldloom_front/src/homes.rs
@@ -66,6 +66,8 @@
     place: Place,
     /// Memory for the answers of other instances.
     memory: Memory,
+    /// Memory for answers that are being sent.
+    sending: Memory,
     state: Mutex<State>,
 }
 
@@ -76,11 +78,17 @@
             rt,
             own,
             place,
+            sending: memory.for_sending(),
             memory,
             state: Mutex::default(),
         }
     }
 
+    /// Returns the memory for answers that are being sent.
+    pub(crate) const fn sending(&self) -> &Memory {
+        &self.sending
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/marigoldloom_front/src/listener.rs
+++ b/crates/marigoldloom_front/src/listener.rs
@@ -19,6 +19,7 @@
 use hyper::service::service_fn;
 use marigoldloom_catalog::configuration::Limits;
 use marigoldloom_http::hyper_runtime::HyperRuntime;
+use marigoldloom_http::socket;
 use marigoldloom_runtime::async_std_runtime::AsyncStd;
 use marigoldloom_runtime::scope::Scope;
 use smol_hyper::rt::FuturesIo;
@@ -207,11 +208,13 @@
 }
 
 async fn serve_connection(stream: TcpStream, handler: impl Handler, stop: Stop) {
-    if let Err(error) = stream.set_nodelay(true) {
+    let (limits, added) = (handler.limits(), handler.added_head());
+    let prepared = stream.set_nodelay(true);
+    let prepared = prepared.and_then(|()| socket::limit_sending(&stream, limits.idle));
+    if let Err(error) = prepared {
         tracing::debug!(%error, "connection ended before it was served");
         return;
     }
-    let (limits, added) = (handler.limits(), handler.added_head());
     let answer = service_fn(|request: Request<Incoming>| async {
         let mut response = handler.handle(request).await;
         if stop.closing.is_cancelled() {
@@ -226,6 +229,8 @@
         // hyper counts from the end of the previous request, so this also limits idle time.
         .header_read_timeout(limits.idle)
         .max_buf_size(limits.head.max(MIN_BUFFER).saturating_add(added.bytes))
+        // Otherwise hyper copies each body into a buffer that stays as large as the largest one.
+        .writev(true)
         .auto_date_header(false);
     if added.headers > 0 {
         builder.max_headers(MAX_HEADERS + added.headers);
--- a/crates/marigoldloom_front/src/responses.rs
+++ b/crates/marigoldloom_front/src/responses.rs
@@ -6,14 +6,24 @@
 use marigoldloom_query::answer::{Answer, Part, Reason};
 use marigoldloom_query::refusal::{Refusal, RunStatus};
 
-/// Converts the answer of one upstream into an unchanged HTTP response.
-pub(crate) fn into_response(part: Part) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from(part.body.0)));
+use crate::body::{self, Memory};
+
+/// Converts the answer of one upstream into an unchanged HTTP response, whose body uses `memory`.
+///
+/// # Errors
+///
+/// [`body::Error::NoMemory`] if too little is left.
+pub(crate) fn into_response(
+    part: Part,
+    memory: &Memory,
+) -> Result<Response<Full<Bytes>>, body::Error> {
+    let body = body::hold(part.body.0, memory)?;
+    let mut response = Response::new(Full::new(body));
     if let Some(head) = part.head {
         *response.status_mut() = head.status;
         *response.headers_mut() = head.headers;
     }
-    response
+    Ok(response)
 }
 
 /// HTTP status for a refusal. 503 states that the request has not run; with the others it may
--- a/crates/marigoldloom_http/src/socket.rs
+++ b/crates/marigoldloom_http/src/socket.rs
@@ -19,6 +19,20 @@
 /// Time without an acknowledgement of sent bytes after which the connection counts as lost.
 const SEND_LIMIT: Duration = Duration::from_secs(3);
 
+/// Shortest and longest limits of [`limit_sending`].
+const SEND_LIMITS: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(3_600));
+
+/// Ends the connection once its peer has acknowledged none of the bytes that wait to be sent for
+/// `limit`, because it is gone or doesn't read.
+///
+/// # Errors
+///
+/// The error of the operating system.
+pub fn limit_sending(stream: &TcpStream, limit: Duration) -> io::Result<()> {
+    let (shortest, longest) = SEND_LIMITS;
+    SockRef::from(stream).set_tcp_user_timeout(Some(limit.clamp(shortest, longest)))
+}
+
 /// Opens a connection within `limit`, without Nagle's algorithm and with keep-alive probes.
 ///
 /// # Errors
