Forward large bodies without copies

On a machine with 8 cores, 700 callers with bodies of 250 kB each, again and again, took 274 MiB of the 260 that a process has there, which ends it. The bodies that were counted together had 65.

Each attempt copied the body, and hyper copied it once more into the buffer of the connection to the replica, which kept that size while the connection was idle. Neither copy was counted. With more cores more of this was in use or in free lists of the allocator.

All attempts share the body now, and hyper sends it with vectored writes.

--- a/crates/marigoldloom_front/src/client.rs
+++ b/crates/marigoldloom_front/src/client.rs
@@ -195,7 +195,12 @@
         call: &message::Call,
         left: Duration,
     ) -> Request<Full<Bytes>> {
-        let body = Full::new(Bytes::copy_from_slice(&subquery.body));
+        // The body may be large: all attempts share it.
+        let body = match subquery.body.is_empty() {
+            true => Bytes::new(),
+            false => Bytes::from_owner(Arc::clone(&subquery.body)),
+        };
+        let body = Full::new(body);
         let mut request = connection::build_request(call, body);
         self.dialect
             .set_target(request.headers_mut(), &target.name, left);
--- a/crates/marigoldloom_front/src/connection.rs
+++ b/crates/marigoldloom_front/src/connection.rs
@@ -84,6 +84,8 @@
         };
         let handshake = http1::Builder::new()
             .max_buf_size(BUFFER_LIMIT)
+            // Otherwise hyper copies each body into a buffer that stays as large as the largest one.
+            .writev(true)
             .handshake(FuturesIo::new(stream))
             .await;
         let (sender, connection) = handshake.map_err(|_| client::Error::Unreachable)?;
--- a/crates/marigoldloom_front/src/head_limit.rs
+++ b/crates/marigoldloom_front/src/head_limit.rs
@@ -79,6 +79,14 @@
         Pin::new(&mut self.tcp).poll_write(cx, buf)
     }
 
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.tcp).poll_write_vectored(cx, bufs)
+    }
+
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         Pin::new(&mut self.tcp).poll_flush(cx)
     }
