Serve while one kind of records can't be had

After a restart callers got 503 for as long as the list of one kind failed, be it only evacuations or version moves. On running instances such a failure counted as an outage of the platform: the instance served no records to others.

There was no view until each kind had been listed, and each failed call started an outage. A watching instance also took no kind from others that it had never listed itself.

Now a failed call for one kind is an outage only if calls for another kind fail too. The instance follows the other kinds and serves them to others, retries the failing one after 2 s at most, and takes its records from other watching instances. If evacuations or version moves stay unknown for 4 s after everything else is known, requests are served without them; a service with several versions is then served by the one whose replica started first.

--- a/crates/marigoldloom_catalog/src/catalog.rs
+++ b/crates/marigoldloom_catalog/src/catalog.rs
@@ -24,6 +24,9 @@
 /// Number of invalid records that a log line describes.
 const LOGGED_RECORDS: usize = 3;
 
+/// Kinds of records without which no request can be served.
+const ESSENTIAL_KINDS: [Kind; 2] = [Kind::Configuration, Kind::Replicas];
+
 /// Where an instance runs, and the regions of all failure domains.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Place {
@@ -46,6 +49,8 @@
     returned: BTreeMap<Arc<str>, Timestamp>,
     moves: BTreeMap<Arc<str>, Order>,
     listed_kinds: BTreeSet<Kind>,
+    /// Whether there is a view without the kinds that aren't essential and were never listed.
+    essential_only: bool,
 }
 
 #[derive(Debug)]
@@ -81,6 +86,7 @@
             returned: BTreeMap::new(),
             moves: BTreeMap::new(),
             listed_kinds: BTreeSet::new(),
+            essential_only: false,
         }
     }
 
@@ -270,14 +276,37 @@
         Kind::ALL.into_iter().filter(|kind| !known(kind)).collect()
     }
 
+    /// Returns whether the records that no request can be served without are known.
+    pub fn has_essentials(&self) -> bool {
+        let essential = |kind: &Kind| ESSENTIAL_KINDS.contains(kind);
+        !self.missing_kinds().iter().any(essential)
+    }
+
+    /// Allows views without the kinds that aren't essential and were never listed.
+    pub fn serve_essentials(&mut self) {
+        self.essential_only = true;
+    }
+
     /// Returns a view of the records, or `None` until each kind was listed and a configuration is
-    /// known.
+    /// known. After [`Catalog::serve_essentials`], the essential kinds suffice.
     pub fn view(&self) -> Option<View> {
         let current = self.current.as_ref()?;
-        if self.listed_kinds.len() < Kind::ALL.len() {
+        let complete = match self.essential_only {
+            true => self.has_essentials(),
+            false => self.listed_kinds.len() == Kind::ALL.len(),
+        };
+        if !complete {
             return None;
         }
-        let usable = |r: &Replica| !r.draining && !self.evacuated.contains(&r.domain);
+        let held = match self.listed_kinds.contains(&Kind::Moves) {
+            true => BTreeMap::new(),
+            false => self.oldest_versions(),
+        };
+        let usable = |r: &Replica| {
+            let version = held.get(&r.service);
+            let held = version.is_some_and(|version| **version != r.version);
+            !r.draining && !held && !self.evacuated.contains(&r.domain)
+        };
         let replicas = self.replicas.values().map(|entry| ReplicaState {
             replica: &entry.replica,
             warm_at: self.warm_at(entry),
@@ -294,6 +323,25 @@
         };
         Some(inputs.view())
     }
+
+    /// Returns the version of each service's replica that started first, of those that don't drain.
+    /// Services without a known start are left out.
+    fn oldest_versions(&self) -> BTreeMap<&Arc<str>, &String> {
+        let mut oldest: BTreeMap<&Arc<str>, (u64, &String)> = BTreeMap::new();
+        let replicas = self.replicas.values().map(|entry| &entry.replica);
+        for replica in replicas.filter(|r| !r.draining) {
+            let Some(born) = replica.born else {
+                continue;
+            };
+            let started = (born, &replica.version);
+            let first = oldest.entry(&replica.service).or_insert(started);
+            *first = started.min(*first);
+        }
+        let versions = oldest.into_iter();
+        versions
+            .map(|(service, (_, version))| (service, version))
+            .collect()
+    }
 }
 
 /// Logs the number of invalid records and the first of them, in one line: other writers may have made
--- a/crates/marigoldloom_catalog/src/feed.rs
+++ b/crates/marigoldloom_catalog/src/feed.rs
@@ -1,6 +1,6 @@
 //! Serves the platform's records from one instance to others.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -74,6 +74,8 @@
     /// while this instance is disconnected from it.
     answered_at: Option<Timestamp>,
     recovered_at: Option<Timestamp>,
+    /// Kinds whose changes this instance doesn't learn of although it is connected.
+    failing: BTreeSet<Kind>,
 }
 
 /// The records of one kind.
@@ -124,6 +126,21 @@
         self.state().is_live(now)
     }
 
+    /// Sets whether calls for a kind fail although the platform answers other calls.
+    pub fn set_failing(&self, kind: Kind, failing: bool) {
+        let mut state = self.state();
+        match failing {
+            true => state.failing.insert(kind),
+            false => state.failing.remove(&kind),
+        };
+    }
+
+    /// Returns whether this instance is connected to the platform and learns of changes of `kind`.
+    pub fn follows(&self, now: Timestamp, kind: Kind) -> bool {
+        let state = self.state();
+        state.is_live(now) && state.kinds.contains_key(&kind) && !state.failing.contains(&kind)
+    }
+
     /// Sets when the platform last answered again after an outage.
     pub fn set_recovered(&self, at: Timestamp) {
         self.state().recovered_at = Some(at);
--- a/crates/marigoldloom_catalog/src/follower.rs
+++ b/crates/marigoldloom_catalog/src/follower.rs
@@ -34,6 +34,9 @@
 /// Longest pause before a retry of other instances that watch the platform.
 const FALLBACK_RETRY_CAP: Duration = Duration::from_secs(3);
 
+/// Longest pause before a retry for a kind that fails alone.
+const KIND_RETRY_CAP: Duration = Duration::from_secs(2);
+
 /// Attempt number that calls start from while an outage of the platform is known, so that the first
 /// pause is already the longest one.
 const OUTAGE_FIRST_ATTEMPT: u32 = 6;
@@ -66,6 +69,17 @@
 /// Time limit for the platform's answer to a check.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Time that the platform has to answer a check before a call for another kind checks it too.
+const PROBE_DELAY: Duration = Duration::from_millis(200);
+
+/// Kinds in the order in which their calls show that the platform answers.
+const PROBED_KINDS: [Kind; 4] = [
+    Kind::Evacuations,
+    Kind::Moves,
+    Kind::Configuration,
+    Kind::Replicas,
+];
+
 /// Time between two checks whether a watching instance can poll peers instead.
 const ROLE_PERIOD: Duration = Duration::from_secs(1);
 
@@ -80,6 +94,14 @@
 /// all instances of a new deployment do, and the list is read only after a delay.
 const COUNT_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Time for which service waits for evacuations and version moves once everything else is known.
+/// Other instances may know them. With the time to start and to list the other kinds, service returns
+/// within 8 s of a restart, and it must within 12 s.
+const ESSENTIALS_WAIT: Duration = Duration::from_secs(4);
+
+/// Time between two checks whether the wait for evacuations and version moves is over.
+const ESSENTIALS_PERIOD: Duration = Duration::from_millis(250);
+
 /// Time between two log lines about records that are missing for the first view.
 const MISSING_PERIOD: Duration = Duration::from_secs(2);
 
@@ -117,8 +139,13 @@
         }),
         apply,
     };
-    let housekeeping = future::join(follower.remove_expired(), follower.report_missing());
-    future::join(follower.run(), housekeeping).await;
+    future::join4(
+        follower.run(),
+        follower.remove_expired(),
+        follower.report_missing(),
+        follower.serve_essentials(),
+    )
+    .await;
 }
 
 struct Follower<R, S, P, F> {
@@ -137,7 +164,7 @@
     down_since: Option<Timestamp>,
     /// When a poll of a peer last succeeded.
     last_update: Timestamp,
-    /// The last failed call for each kind, unless a later one succeeded.
+    /// The last failed call for each kind whose calls fail.
     failures: BTreeMap<Kind, Error>,
 }
 
@@ -164,7 +191,7 @@
             self.rt.sleep(MISSING_PERIOD).await;
             let state = self.state();
             let missing = state.catalog.missing_kinds();
-            if missing.is_empty() {
+            if state.catalog.view().is_some() {
                 return;
             }
             let failures = state.failures.iter();
@@ -180,6 +207,35 @@
         }
     }
 
+    /// Serves without evacuations and version moves if they stay unknown for [`ESSENTIALS_WAIT`].
+    async fn serve_essentials(&self) {
+        let mut known_at = None;
+        loop {
+            self.rt.sleep(ESSENTIALS_PERIOD).await;
+            let (now, state) = (self.rt.now(), self.state());
+            let missing = state.catalog.missing_kinds();
+            if missing.is_empty() {
+                return;
+            }
+            if !state.catalog.has_essentials() {
+                continue;
+            }
+            if now.since(*known_at.get_or_insert(now)) < ESSENTIALS_WAIT {
+                continue;
+            }
+            drop(state);
+            let missing: Vec<_> = missing.iter().map(ToString::to_string).collect();
+            tracing::warn!(
+                missing = missing.join(", "),
+                "requests are served although records are missing"
+            );
+            return self.update_state(|state, _| {
+                state.catalog.serve_essentials();
+                true
+            });
+        }
+    }
+
     /// Waits until the other instances are known or the time limit passes.
     async fn await_roster(&self) {
         let (start, roster) = (self.rt.now(), &self.sources.roster);
@@ -213,26 +269,59 @@
         }
     }
 
-    /// Completes once the platform stops answering although the open watches report no failure.
+    /// Completes once the platform stops answering, for all kinds or one, although the open watches
+    /// report no failure.
     async fn until_unanswered(&self) {
         loop {
             self.rt.sleep(CHECK_PERIOD).await;
             if self.state().down_since.is_some() {
                 continue;
             }
-            let check = self.sources.platform.check();
-            let answer = runtime::timeout(&self.rt, CHECK_TIMEOUT, check).await;
-            let error = match answer {
-                Ok(Ok(())) => {
-                    self.sources.feed.confirm(self.rt.now());
-                    continue;
+            match self.probe().await {
+                Ok(None) => self.sources.feed.confirm(self.rt.now()),
+                Ok(Some((kind, error))) => {
+                    self.state().failures.insert(kind, error);
+                    return self.sources.feed.set_failing(kind, true);
                 }
-                Ok(Err(error)) => error,
-                Err(elapsed) => Error::Unreachable {
-                    reason: elapsed.to_string(),
-                },
-            };
-            return self.record_failure(Kind::Evacuations, &error);
+                Err(error) => return self.record_outage(Kind::Evacuations, &error),
+            }
+        }
+    }
+
+    /// Checks whether the platform answers calls for kinds that don't fail. Returns a kind whose call
+    /// failed although the platform answered one for another kind.
+    async fn probe(&self) -> Result<Option<(Kind, Error)>, Error> {
+        let failing: Vec<_> = self.state().failures.keys().copied().collect();
+        let mut sound = PROBED_KINDS.iter().filter(|kind| !failing.contains(kind));
+        let kind = *sound.next().unwrap_or(&PROBED_KINDS[0]);
+        let other = *sound.next().unwrap_or(&kind);
+        let first = pin::pin!(self.probe_kind(kind, Duration::ZERO));
+        let second = pin::pin!(self.probe_kind(other, PROBE_DELAY));
+        match future::select(first, second).await {
+            Either::Left((Ok(()), _)) => Ok(None),
+            Either::Left((Err(error), second)) => second.await.map(|()| Some((kind, error))),
+            Either::Right((Ok(()), first)) => Ok(first.await.err().map(|error| (kind, error))),
+            Either::Right((Err(_), first)) => first.await.map(|()| None),
+        }
+    }
+
+    /// Checks after `delay` whether the platform answers a call for `kind`.
+    async fn probe_kind(&self, kind: Kind, delay: Duration) -> Result<(), Error> {
+        self.rt.sleep(delay).await;
+        let platform = &self.sources.platform;
+        let call = async {
+            match kind {
+                // Cheaper than a list.
+                Kind::Evacuations => platform.check().await,
+                kind => platform.list(kind).await.map(drop),
+            }
+        };
+        match runtime::timeout(&self.rt, CHECK_TIMEOUT.saturating_sub(delay), call).await {
+            Ok(Ok(()) | Err(Error::Malformed { .. })) => Ok(()),
+            Ok(Err(error)) => Err(error),
+            Err(elapsed) => Err(Error::Unreachable {
+                reason: elapsed.to_string(),
+            }),
         }
     }
 
@@ -256,6 +345,9 @@
     async fn follow_peers(&self, peers: &[Member]) {
         let names: Vec<_> = peers.iter().map(|p| &*p.candidate.name).collect();
         tracing::info!(instances = names.join(", "), "following other instances");
+        Kind::ALL
+            .into_iter()
+            .for_each(|kind| self.clear_failure(kind));
         let polls = future::join_all(peers.iter().map(|peer| self.poll(peer)));
         let role_changed = async {
             let same = || match self.sources.roster.role(self.rt.now()) {
@@ -319,11 +411,12 @@
         answer
     }
 
-    /// Serves the records that peers returned at `now` to other instances once each kind is known.
+    /// Serves the records that peers returned at `now` to other instances. Peers return all kinds that
+    /// they know at once.
     fn publish_peer_records(&self, now: Timestamp) {
         let mut state = self.state();
         state.last_update = now;
-        match state.known.len() == Kind::ALL.len() {
+        match state.known.contains_key(&Kind::Configuration) {
             true => self.sources.feed.set_connected(now),
             false => self.sources.feed.set_disconnected(),
         }
@@ -358,6 +451,7 @@
     /// Lists a kind and watches it; lists it again whenever the watch fails, and at intervals if the
     /// list couldn't be read to its end.
     async fn follow_kind(&self, kind: Kind) {
+        let mut attempt = 0;
         loop {
             if kind != Kind::Configuration {
                 self.await_platform().await;
@@ -367,7 +461,7 @@
             let mut since = listing.revision;
             self.replace(kind, listing);
             self.publish();
-            while let Some(changes) = self.watch(kind, since).await {
+            while let Some(changes) = self.watch(kind, since, &mut attempt).await {
                 since = since.max(changes.revision);
                 self.change(kind, changes);
                 if partial && self.rt.now().since(listed) >= PARTIAL_PERIOD {
@@ -391,6 +485,7 @@
         loop {
             match self.sources.platform.list(kind).await {
                 Ok(listing) => {
+                    self.clear_failure(kind);
                     self.record_success();
                     return listing;
                 }
@@ -407,9 +502,11 @@
     /// Waits for the next changes of a kind. Returns `None` if the kind must be listed again: a
     /// watch that failed may have missed changes that a new watch from the same revision doesn't
     /// report at once.
-    async fn watch(&self, kind: Kind, since: Revision) -> Option<Changes> {
+    /// `attempt` counts the failures in a row.
+    async fn watch(&self, kind: Kind, since: Revision, attempt: &mut u32) -> Option<Changes> {
         match self.sources.platform.watch(kind, since).await {
             Ok(changes) => {
+                *attempt = 0;
                 self.record_success();
                 Some(changes)
             }
@@ -418,7 +515,7 @@
                 None
             }
             Err(error) => {
-                self.back_off(kind, &error, &mut 0).await;
+                self.back_off(kind, &error, attempt).await;
                 None
             }
         }
@@ -429,7 +526,6 @@
         self.update_state(|state, now| {
             let recovered_at = state.recovered_at;
             state.known.insert(kind, listing.revision);
-            state.failures.remove(&kind);
             state.catalog.replace(kind, listing, now, recovered_at);
             true
         });
@@ -482,19 +578,21 @@
         self.publish();
     }
 
-    /// Serves the records to other instances once each kind is known and while the platform
-    /// answers.
+    /// Serves the records to other instances while the platform answers, once each kind is known or
+    /// its calls fail.
     fn publish(&self) {
         let state = self.state();
-        let complete = state.known.len() == Kind::ALL.len();
+        let settled =
+            |kind: &Kind| state.known.contains_key(kind) || state.failures.contains_key(kind);
+        let complete = !state.known.is_empty() && Kind::ALL.iter().all(settled);
         match complete && state.down_since.is_none() {
             true => self.sources.feed.set_connected(self.rt.now()),
             false => self.sources.feed.set_disconnected(),
         }
     }
 
-    /// Records that a call to the platform failed, which starts an outage.
-    fn record_failure(&self, kind: Kind, error: &Error) {
+    /// Records that the platform doesn't answer, which starts an outage.
+    fn record_outage(&self, kind: Kind, error: &Error) {
         let mut state = self.state();
         if state.down_since.is_none() {
             state.down_since = Some(self.rt.now());
@@ -503,11 +601,44 @@
         }
     }
 
+    /// Records that a call for `kind` succeeded.
+    fn clear_failure(&self, kind: Kind) {
+        self.state().failures.remove(&kind);
+        self.sources.feed.set_failing(kind, false);
+    }
+
+    /// Records a failed call for `kind`. It is an outage unless the platform answers calls for another
+    /// kind: one kind may fail because of a record or a limit of its own.
+    async fn record_failure(&self, kind: Kind, error: &Error) {
+        let (first, others) = {
+            let mut state = self.state();
+            let first = state.failures.insert(kind, error.clone()).is_none();
+            let mut others = state.known.keys();
+            let others = others.any(|k| *k != kind && !state.failures.contains_key(k));
+            (first, others && state.down_since.is_none())
+        };
+        self.sources.feed.set_failing(kind, true);
+        if !others {
+            return self.record_outage(kind, error);
+        }
+        // Later failures are left to the periodic checks.
+        if !first {
+            return;
+        }
+        match self.probe().await {
+            Ok(_) => {
+                tracing::warn!(%kind, %error, "records of one kind can't be read; the last ones stay in force");
+                self.publish();
+            }
+            Err(error) => self.record_outage(kind, &error),
+        }
+    }
+
     /// Records a failed call and waits before the next attempt.
     async fn back_off(&self, kind: Kind, error: &Error, attempt: &mut u32) {
-        self.record_failure(kind, error);
-        self.state().failures.insert(kind, error.clone());
+        self.record_failure(kind, error).await;
         let cap = match self.sources.roster.is_preferred_watcher() {
+            _ if self.state().down_since.is_none() => KIND_RETRY_CAP,
             true => RETRY_CAP,
             false => FALLBACK_RETRY_CAP,
         };
--- a/crates/marigoldloom_catalog/src/follower/comparison.rs
+++ b/crates/marigoldloom_catalog/src/follower/comparison.rs
@@ -15,7 +15,8 @@
 impl<R: Runtime, S: Source, P: Peers, F: Fn(View)> Follower<R, S, P, F> {
     /// Completes once other instances have had newer records for a check period: a watch whose
     /// connection is silently lost would otherwise be held until its wait limit. While the platform
-    /// doesn't answer, the newer records of the others are applied and the comparison goes on.
+    /// doesn't answer, the newer records of the others are applied and the comparison goes on. The
+    /// same holds for kinds whose calls fail.
     pub(super) async fn until_outdated(&self) {
         let mut behind = Revisions::new();
         loop {
@@ -25,11 +26,19 @@
             let asked = peers.iter().map(|peer| self.poll_now(peer, &known));
             let updates = future::join_all(asked).await.into_iter().flatten();
             let batches = updates.flat_map(|update| update.batches);
+            let failing: Vec<_> = self.state().failures.keys().copied().collect();
+            let (unread, batches): (Vec<_>, Vec<_>) =
+                batches.partition(|(kind, _)| failing.contains(kind));
+            if !unread.is_empty() {
+                self.apply_batches(unread);
+                self.publish();
+            }
             let later = |(kind, batch): &(Kind, Batch)| {
                 known.get(kind).is_some_and(|own| batch.revision() > *own)
             };
             // A batch of a later revision may contain no new records; its revision is recorded now.
             let (same, newer): (Vec<_>, Vec<_>) = batches
+                .into_iter()
                 .filter(later)
                 .partition(|(kind, batch)| self.sources.feed.matches(*kind, batch));
             self.apply_batches(same);
--- a/crates/marigoldloom_catalog/tests/follower.rs
+++ b/crates/marigoldloom_catalog/tests/follower.rs
@@ -16,7 +16,7 @@
 use marigoldloom_runtime::runtime::Runtime;
 use marigoldloom_runtime::time::Timestamp;
 use marigoldloom_testkit::virtual_runtime::{self, VirtualRuntime};
-use support::{FakePlatform, configuration, in_force, member, replica};
+use support::{FakePlatform, Fault, configuration, in_force, member, replica, versioned};
 
 /// A client of peers that none of them answers.
 #[derive(Clone)]
@@ -384,3 +384,182 @@
         assert_eq!(*counts.lock().unwrap(), [3]);
     });
 }
+
+/// Ways in which the calls for one kind fail.
+const FAULTS: [Fault; 5] = [
+    Fault::Status(500),
+    Fault::Status(503),
+    Fault::Status(429),
+    Fault::Malformed,
+    Fault::Silence,
+];
+
+/// Time from a start until an instance serves without evacuations or version moves.
+const SERVING_AFTER: Duration = Duration::from_secs(7);
+
+/// Longest time from the end of a fault until the records of its kind are in force.
+const RECOVERY_TIME: Duration = Duration::from_secs(4);
+
+/// Starts an instance that follows `platform`. Returns its view and its feed.
+fn start(rt: &VirtualRuntime, platform: &FakePlatform) -> (LatestView, Arc<Feed>) {
+    let place = Place {
+        domain: Arc::from("north"),
+        regions: BTreeMap::new(),
+    };
+    let (latest, sources) = (LatestView::default(), sources(platform));
+    let (views, feed) = (latest.clone(), Arc::clone(&sources.feed));
+    rt.spawn(follower::follow(rt.clone(), sources, place, move |view| {
+        views.set(Arc::new(view));
+    }));
+    (latest, feed)
+}
+
+/// Guards against one kind of records that can't be had and holds up all service after a restart.
+#[test]
+fn missing_evacuations_or_moves_hold_up_no_service() {
+    for kind in [Kind::Evacuations, Kind::Moves] {
+        for fault in FAULTS {
+            virtual_runtime::block_on(1, move |rt| async move {
+                let platform = FakePlatform::new(rt.clone());
+                platform.set(Kind::Configuration, "main", Some(configuration(3)));
+                platform.set(Kind::Replicas, "r1", Some(replica("r1", false)));
+                platform.set(Kind::Replicas, "r2", Some(replica("r2", false)));
+                platform.set(Kind::Evacuations, "north", Some(Record::Evacuation));
+                platform.with_state(|s| s.faults.insert(kind, fault));
+                let (latest, feed) = start(&rt, &platform);
+                rt.sleep(SERVING_AFTER).await;
+                let expected = match kind {
+                    Kind::Evacuations => both_replicas(),
+                    _ => Vec::new(),
+                };
+                let served = Some((3, expected));
+                assert_eq!(in_force(&latest), served, "{kind} {fault:?}");
+                assert!(feed.is_live(rt.now()), "{kind} {fault:?}");
+                platform.with_state(|s| (s.faults.clear(), s.list_calls = 0));
+                rt.sleep(RECOVERY_TIME).await;
+                let evacuated = Some((3, Vec::new()));
+                assert_eq!(in_force(&latest), evacuated, "{kind} {fault:?}");
+            });
+        }
+    }
+}
+
+/// Guards against records that are served without the evacuations and moves which are known a
+/// moment later.
+#[test]
+fn service_waits_for_evacuations_that_are_late() {
+    virtual_runtime::block_on(1, |rt| async move {
+        let platform = FakePlatform::new(rt.clone());
+        platform.set(Kind::Configuration, "main", Some(configuration(3)));
+        platform.set(Kind::Replicas, "r1", Some(replica("r1", false)));
+        platform.with_state(|s| s.faults.insert(Kind::Evacuations, Fault::Status(503)));
+        let (latest, _feed) = start(&rt, &platform);
+        rt.sleep(Duration::from_secs(2)).await;
+        assert_eq!(in_force(&latest), None);
+    });
+}
+
+/// Guards against a fault of one kind that counts as an outage: changes of the others come late, and
+/// other instances get none.
+#[test]
+fn fault_of_one_kind_is_no_outage() {
+    for kind in Kind::ALL {
+        for fault in FAULTS {
+            follow(move |rt, platform, latest| async move {
+                let (_view, feed) = start(&rt, &platform);
+                rt.sleep(Duration::from_secs(1)).await;
+                let case = format!("{kind} {fault:?}");
+                platform.with_state(|s| {
+                    s.faults.insert(kind, fault);
+                    s.list_calls = 0;
+                });
+                // A fault that is silent shows after the time limit of a call.
+                rt.sleep(Duration::from_secs(4)).await;
+                for second in 0..10 {
+                    rt.sleep(Duration::from_secs(1)).await;
+                    assert!(feed.is_live(rt.now()), "{case}, second {second}");
+                }
+                let lists = platform.with_state(|s| s.list_calls);
+                assert!(lists < 2 * 3 * 14, "{lists} lists in 14 s, {case}");
+                match kind {
+                    Kind::Configuration => {
+                        platform.set(Kind::Replicas, "r2", None);
+                        rt.sleep(Duration::from_secs(1)).await;
+                        assert_eq!(in_force(&latest), Some((3, first_replica())), "{case}");
+                    }
+                    _ => {
+                        platform.set(Kind::Configuration, "main", Some(configuration(5)));
+                        rt.sleep(Duration::from_secs(1)).await;
+                        assert_eq!(in_force(&latest), Some((5, both_replicas())), "{case}");
+                    }
+                }
+                platform.set(Kind::Configuration, "main", Some(configuration(7)));
+                platform.set(Kind::Replicas, "r2", None);
+                platform.with_state(|s| s.faults.clear());
+                rt.sleep(RECOVERY_TIME).await;
+                assert_eq!(in_force(&latest), Some((7, first_replica())), "{case}");
+            });
+        }
+    }
+}
+
+/// Guards against requests that spread over two versions of a service while the orders to move it
+/// aren't known.
+#[test]
+fn only_the_oldest_version_serves_without_moves() {
+    struct Case {
+        name: &'static str,
+        replicas: Vec<(&'static str, &'static str, Option<u64>)>,
+        used: Vec<&'static str>,
+    }
+    let cases = [
+        Case {
+            name: "a new version beside the old one",
+            replicas: vec![("r1", "v2", Some(20)), ("r2", "v1", Some(10))],
+            used: vec!["r2"],
+        },
+        Case {
+            name: "a replica of the old version has restarted",
+            replicas: vec![
+                ("r1", "v1", Some(10)),
+                ("r2", "v1", Some(30)),
+                ("r3", "v2", Some(20)),
+            ],
+            used: vec!["r1", "r2"],
+        },
+        Case {
+            name: "one version",
+            replicas: vec![("r1", "v2", Some(20)), ("r2", "v2", Some(10))],
+            used: vec!["r1", "r2"],
+        },
+        Case {
+            name: "unknown starts",
+            replicas: vec![("r1", "v1", None), ("r2", "v2", None)],
+            used: vec!["r1", "r2"],
+        },
+    ];
+    for case in cases {
+        virtual_runtime::block_on(1, move |rt| async move {
+            let platform = FakePlatform::new(rt.clone());
+            platform.set(Kind::Configuration, "main", Some(configuration(3)));
+            for (name, version, born) in &case.replicas {
+                let record = versioned(name, version, *born);
+                platform.set(Kind::Replicas, name, Some(record));
+            }
+            platform.with_state(|s| s.faults.insert(Kind::Moves, Fault::Malformed));
+            let (latest, _feed) = start(&rt, &platform);
+            rt.sleep(SERVING_AFTER).await;
+            let used = case.used.iter().map(|name| (*name).to_owned());
+            assert_eq!(
+                in_force(&latest),
+                Some((3, used.collect())),
+                "{}",
+                case.name
+            );
+            platform.with_state(|s| s.faults.clear());
+            rt.sleep(RECOVERY_TIME).await;
+            let all = case.replicas.iter().map(|(name, ..)| (*name).to_owned());
+            assert_eq!(in_force(&latest), Some((3, all.collect())), "{}", case.name);
+        });
+    }
+}
--- a/crates/marigoldloom_catalog/tests/relay.rs
+++ b/crates/marigoldloom_catalog/tests/relay.rs
@@ -11,11 +11,11 @@
 use marigoldloom_catalog::fleet::Member;
 use marigoldloom_catalog::follower::{self, LatestView, Sources};
 use marigoldloom_catalog::relay::{self, Role, Roster};
-use marigoldloom_catalog::source::{Changes, Kind, Listing, Revision};
+use marigoldloom_catalog::source::{Changes, Kind, Listing, Record, Revision};
 use marigoldloom_runtime::runtime::Runtime;
 use marigoldloom_runtime::time::Timestamp;
 use marigoldloom_testkit::virtual_runtime::{self, VirtualRuntime};
-use support::{FakePlatform, configuration, in_force, member, replica};
+use support::{FakePlatform, Fault, configuration, in_force, member, replica};
 
 /// Time in which a new configuration must be in force on all instances.
 const CONFIGURATION_DEADLINE: Duration = Duration::from_secs(3);
@@ -74,7 +74,14 @@
 
 impl Fleet {
     async fn start(rt: &VirtualRuntime, names: &[impl AsRef<str>]) -> Self {
-        let platform = FakePlatform::new(rt.clone());
+        Self::start_on(FakePlatform::new(rt.clone()), rt, names).await
+    }
+
+    async fn start_on(
+        platform: FakePlatform,
+        rt: &VirtualRuntime,
+        names: &[impl AsRef<str>],
+    ) -> Self {
         platform.set(Kind::Configuration, "main", Some(configuration(3)));
         for name in ["r1", "r2"] {
             platform.set(Kind::Replicas, name, Some(replica(name, false)));
@@ -140,6 +147,14 @@
     }
 }
 
+/// Whether the instance `own` of `names` watches the platform while no instance fails.
+fn is_watcher(own: &str, names: &[&str]) -> bool {
+    let roster = Roster::new(member(own).candidate);
+    let members: Vec<_> = names.iter().map(|name| member(name)).collect();
+    roster.set_members(&members);
+    roster.role(Timestamp::ZERO) == Role::Watcher
+}
+
 /// Runs `check` on a small fleet after its start.
 fn run<F>(check: impl FnOnce(Fleet) -> F + Send + 'static)
 where
@@ -304,6 +319,56 @@
     run_large(check_unanswered_watchers);
 }
 
+/// Guards against instances that get no records from others, or no changes, because one kind of records
+/// can't be had anywhere.
+#[test]
+fn records_of_sound_kinds_reach_all_instances() {
+    for kind in [Kind::Evacuations, Kind::Moves] {
+        for fault in [Fault::Status(503), Fault::Malformed, Fault::Silence] {
+            virtual_runtime::block_on(1, move |rt| async move {
+                let platform = FakePlatform::new(rt.clone());
+                platform.with_state(|s| s.faults.insert(kind, fault));
+                let fleet = Fleet::start_on(platform, &rt, &NAMES).await;
+                fleet.rt.sleep(Duration::from_secs(6)).await;
+                assert!(fleet.behind(3).is_empty(), "{kind} {fault:?}");
+                let change = configuration(5);
+                fleet
+                    .platform
+                    .set(Kind::Configuration, "main", Some(change));
+                fleet.rt.sleep(CONFIGURATION_DEADLINE).await;
+                assert!(fleet.behind(5).is_empty(), "{kind} {fault:?}");
+                assert_eq!(fleet.watching(), relay::WATCHERS_PER_DOMAIN);
+            });
+        }
+    }
+}
+
+/// Guards against an instance that serves without records which other instances know.
+#[test]
+fn records_of_a_failing_kind_come_from_other_instances() {
+    for fault in [Fault::Status(503), Fault::Malformed, Fault::Silence] {
+        virtual_runtime::block_on(1, move |rt| async move {
+            let platform = FakePlatform::new(rt.clone());
+            platform.set(Kind::Evacuations, "north", Some(Record::Evacuation));
+            let own = NAMES.into_iter().find(|name| is_watcher(name, &NAMES));
+            let own = own.unwrap();
+            platform.with_state(|s| {
+                s.faulty = Some(Arc::from(own));
+                s.faults.insert(Kind::Evacuations, fault);
+            });
+            let fleet = Fleet::start_on(platform, &rt, &NAMES).await;
+            fleet.rt.sleep(Duration::from_secs(1)).await;
+            let latest = &fleet.latest[own];
+            let evacuated = Some((3, Vec::new()));
+            assert_eq!(in_force(latest), evacuated, "{fault:?}");
+            fleet.platform.set(Kind::Evacuations, "north", None);
+            fleet.rt.sleep(CONFIGURATION_DEADLINE).await;
+            let returned = in_force(latest).map(|(_, replicas)| replicas.len());
+            assert_eq!(returned, Some(2), "{fault:?}");
+        });
+    }
+}
+
 /// Guards against calls to the platform that grow with the number of instances, and against
 /// instances that get a change late because they don't watch the platform.
 #[test]
--- a/crates/marigoldloom_catalog/tests/support/mod.rs
+++ b/crates/marigoldloom_catalog/tests/support/mod.rs
@@ -23,6 +23,9 @@
 /// How long the fake platform holds a watch without changes.
 const WATCH_LIMIT: Duration = Duration::from_secs(10);
 
+/// Time limit for the response to a call.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+
 /// Duration of a call to the fake platform.
 const LATENCY: Duration = Duration::from_millis(4);
 
@@ -36,10 +39,25 @@
     state: Arc<Mutex<State>>,
 }
 
+/// How calls for one kind of records fail.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Fault {
+    /// They get this HTTP status.
+    Status(u16),
+    /// Their responses can't be decoded.
+    Malformed,
+    /// They get no response within [`CALL_TIMEOUT`].
+    Silence,
+}
+
 #[derive(Default)]
 pub(crate) struct State {
     /// Whether all calls fail.
     pub(crate) unavailable: bool,
+    /// How calls for one kind of records fail.
+    pub(crate) faults: BTreeMap<Kind, Fault>,
+    /// The only instance whose calls fail in these ways; `None` stands for all.
+    pub(crate) faulty: Option<Arc<str>>,
     /// Whether lists end after their first record.
     pub(crate) partial: bool,
     /// Whether watches report no changes, as if the platform had lost its history.
@@ -106,6 +124,25 @@
         change(&mut self.state.lock().unwrap())
     }
 
+    /// Fails if calls for `kind` do.
+    async fn check_fault(&self, kind: Kind) -> Result<(), Error> {
+        let fault = self.with_state(|state| {
+            let own = state.faulty.as_ref().is_none_or(|name| *name == self.name);
+            state.faults.get(&kind).copied().filter(|_| own)
+        });
+        match fault {
+            None => Ok(()),
+            Some(Fault::Status(status)) => Err(Error::Refused { status }),
+            Some(Fault::Malformed) => Err(Error::Malformed {
+                reason: "a string without an end".to_owned(),
+            }),
+            Some(Fault::Silence) => {
+                self.rt.sleep(CALL_TIMEOUT).await;
+                Err(Self::unreachable())
+            }
+        }
+    }
+
     fn unreachable() -> Error {
         Error::Unreachable {
             reason: "unavailable".to_owned(),
@@ -117,6 +154,7 @@
     async fn list(&self, kind: Kind) -> Result<Listing, Error> {
         self.rt.sleep(LATENCY).await;
         self.with_state(|state| state.list_calls += 1);
+        self.check_fault(kind).await?;
         let list = |state: &mut State| {
             let records = state.records.iter().filter(|((k, _), _)| *k == kind);
             let limit = if state.partial { 1 } else { usize::MAX };
@@ -132,6 +170,7 @@
 
     async fn check(&self) -> Result<(), Error> {
         self.rt.sleep(LATENCY).await;
+        self.check_fault(Kind::Evacuations).await?;
         self.answer(|_| ()).await
     }
 
@@ -175,6 +214,7 @@
         let _open = OpenWatch::new(self);
         loop {
             self.rt.sleep(LATENCY).await;
+            self.check_fault(kind).await?;
             if self
                 .with_state(|s| s.unanswered.contains(&self.name) || stalled(s) != stalled_before)
             {
@@ -240,6 +280,18 @@
     })
 }
 
+/// Returns the record of a replica of a `version` whose process started at `born`.
+pub(crate) fn versioned(name: &str, version: &str, born: Option<u64>) -> Record {
+    let Record::Replica(new) = replica(name, false) else {
+        unreachable!("it is a replica");
+    };
+    Record::Replica(Replica {
+        version: version.to_owned(),
+        born,
+        ..new
+    })
+}
+
 /// Returns the version in force and the names of the replicas that get new requests.
 pub(crate) fn in_force(latest: &LatestView) -> Option<(u64, Vec<String>)> {
     let view = latest.get()?;
--- a/crates/marigoldloom_front/src/moves.rs
+++ b/crates/marigoldloom_front/src/moves.rs
@@ -6,7 +6,7 @@
 
 use marigoldloom_catalog::feed::Feed;
 use marigoldloom_catalog::follower::LatestView;
-use marigoldloom_catalog::source::Source;
+use marigoldloom_catalog::source::{Kind, Source};
 use marigoldloom_moves::window::{TICK_INTERVAL, WindowedMoves};
 use marigoldloom_query::hooks;
 use marigoldloom_records::service;
@@ -58,7 +58,7 @@
     loop {
         let view = latest.get();
         let orders = view.as_ref().map_or(&[][..], |view| &view.moves);
-        let due = moves.tick(orders, feed.is_live(rt.now()));
+        let due = moves.tick(orders, feed.follows(rt.now(), Kind::Moves));
         for order in writes.take_due(&rt, &moves, due) {
             let (source, phase) = (source.clone(), order.phase.unwrap_or_default());
             rt.spawn(async move { write(&source, &order, phase).await });
--- a/crates/marigoldloom_front/src/sharing.rs
+++ b/crates/marigoldloom_front/src/sharing.rs
@@ -6,6 +6,7 @@
 use marigoldloom_catalog::feed::Feed;
 use marigoldloom_catalog::fleet::Member;
 use marigoldloom_catalog::follower::LatestView;
+use marigoldloom_catalog::source::Kind;
 use marigoldloom_catalog::view::View;
 use marigoldloom_limits::allowance::Allowance;
 use marigoldloom_query::engine::Engine;
@@ -76,7 +77,7 @@
         self.apply_limits(&view);
         // An order must be in force before the first request reaches a replica of its version. The
         // phases that are due are written at the next regular tick.
-        let live = self.feed.is_live(self.rt.now());
+        let live = self.feed.follows(self.rt.now(), Kind::Moves);
         self.moves.tick(&view.moves, live);
         self.engine.apply(Arc::clone(&view.topology));
         self.latest.set(view);
--- a/crates/marigoldloom_standin/src/users/store.rs
+++ b/crates/marigoldloom_standin/src/users/store.rs
@@ -15,6 +15,9 @@
 /// the caller asks for further pages.
 const PAGE_SIZE: usize = 50;
 
+/// Time for which a call without a response holds its connection.
+const SILENCE: Duration = Duration::from_secs(60);
+
 /// Interval at which a waiting watch checks for changes.
 const WATCH_POLL: Duration = Duration::from_millis(2);
 
@@ -30,6 +33,17 @@
     Disconnect,
 }
 
+/// How calls for one kind of objects fail.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// They get this status.
+    Status(StatusCode),
+    /// Their responses can't be decoded.
+    Malformed,
+    /// They get no response.
+    Silence,
+}
+
 /// The store. Clones share all state.
 #[derive(Clone, Default)]
 pub struct Store {
@@ -59,6 +73,8 @@
 struct State {
     mode: Mode,
     layout: Layout,
+    /// Kinds whose calls fail.
+    faults: BTreeMap<String, Fault>,
     paging: Paging,
     page_size: usize,
     revision: u64,
@@ -80,6 +96,7 @@
         Self {
             mode: Mode::default(),
             layout: Layout::default(),
+            faults: BTreeMap::new(),
             paging: Paging::default(),
             page_size: PAGE_SIZE,
             revision: 0,
@@ -182,6 +199,15 @@
         self.state().mode = mode;
     }
 
+    /// Sets how calls for `kind` fail. Watches that wait already go on.
+    pub fn set_fault(&self, kind: &str, fault: Option<Fault>) {
+        let mut state = self.state();
+        match fault {
+            Some(fault) => state.faults.insert(kind.to_owned(), fault),
+            None => state.faults.remove(kind),
+        };
+    }
+
     /// Sets the greatest number of objects in one list response.
     pub fn set_page_size(&self, size: usize) {
         self.state().page_size = size;
@@ -388,6 +414,18 @@
         if request.method() == Method::Get && number(&url, "Watch").is_none() {
             *self.state().reads.entry(kind.to_owned()).or_default() += 1;
         }
+        let fault = self.state().faults.get(kind).copied();
+        match fault.filter(|_| mode == Mode::Normal) {
+            None => {}
+            Some(Fault::Status(status)) => return Response::new(status),
+            Some(Fault::Malformed) => {
+                return Response::new(StatusCode::Ok).with_body("no list".as_bytes());
+            }
+            Some(Fault::Silence) => {
+                task::sleep(SILENCE).await;
+                return Response::hang_up();
+            }
+        }
         let body = || request.json::<Value>();
         match (mode, request.method(), number(&url, "Watch")) {
             (Mode::Unavailable, _, _) => Response::new(StatusCode::ServiceUnavailable),
