Play signals at starts, broken entries and common returns in the soak

The soak sent no signal to a starting process, never touched a settings file, held no address, and all of its odd entries were valid JSON.

A fourth generator draws SIGHUPs at each start of an instance, restarts with an early SIGTERM, with an address in use, or with a settings file that is truncated, renamed, invalid or missing, and entries that break the JSON around them, one of which stays across the kill of all instances that now follows the fault phase. The check `return` holds the tier to a quarter of the requests 12 s after that start. An end by a signal other than SIGKILL breaks `alive`, also after SIGTERM, where it was not recorded before; the report names the signals sent and the end of the log, and the trace lists all steps and the latest warnings of each instance.

Before a process runs its program, any signal ends it, whatever the program does: at a load of 18 on 8 cores, SIGHUP 10 ms after the spawn still ended 1 of 92 processes whose handlers are installed first in `main`. Signals at starts are therefore timed from when the process handles some signal, which the runtime of Rust does just before `main`. The soak handles SIGHUP itself, because its processes would inherit that it is ignored (`nohup`).

--- a/crates/marigoldloom_soak/src/checks.rs
+++ b/crates/marigoldloom_soak/src/checks.rs
@@ -43,6 +43,13 @@
 /// Minimum share of requests that must be served then. The operators require only a quarter.
 const MIN_SERVED_SHARE: f64 = 0.9;
 
+/// Minimum share of requests that must be served from `RECOVERY_TIME` after the return of all
+/// instances, as the operators require.
+const MIN_RETURN_SHARE: f64 = 0.25;
+
+/// Time in which requests count for it.
+const RETURN_WINDOW: Duration = Duration::from_secs(3);
+
 /// Minimum number of ended requests for which the share of served ones is checked; with fewer it
 /// varies too much.
 const MIN_SAMPLE: usize = 50;
@@ -65,6 +72,7 @@
         check_maintenance,
         check_recovery,
         check_exits,
+        check_return,
     ];
     checks
         .iter()
@@ -324,3 +332,25 @@
         });
     exits.collect()
 }
+
+fn check_return(observations: &Observations) -> Vec<Violation> {
+    let Some(returned_at) = observations.returned_at else {
+        return Vec::new();
+    };
+    let due = returned_at + RECOVERY_TIME;
+    let window = due..due + RETURN_WINDOW;
+    let requests = observations.requests.values();
+    let sent = requests.filter(|r| window.contains(&r.sent_at));
+    let ends = sent.filter_map(|r| r.end.as_ref().map(|(_, outcome)| outcome));
+    let ends: Vec<_> = ends.filter(|o| **o != Outcome::Left).collect();
+    let served = ends.iter().filter(
+        |outcome| matches!(outcome, Outcome::Answered { response, .. } if response.status() == 200),
+    );
+    let (served, total) = (served.count(), ends.len());
+    let few = total >= MIN_SAMPLE && (served as f64) < total as f64 * MIN_RETURN_SHARE;
+    let violation = few.then(|| {
+        let detail = format!("{served} of {total} requests were served in {window:?}");
+        Violation::new(Guarantee::Return, None, detail)
+    });
+    violation.into_iter().collect()
+}
--- a/crates/marigoldloom_soak/src/deployment.rs
+++ b/crates/marigoldloom_soak/src/deployment.rs
@@ -15,7 +15,8 @@
 use serde_json::{Value, json};
 
 use crate::history::{Configuration, History, RequestKind};
-use crate::plan::{Link, Sizes};
+use crate::plan::Link;
+use crate::plan::starts::HangUps;
 use crate::process::Instance;
 use crate::proxy::Proxy;
 use crate::replicas::Replicas;
@@ -96,6 +97,8 @@
     pub instance: Mutex<Instance>,
     /// Address of the readiness endpoint, which the balancer probes.
     pub readiness: SocketAddr,
+    /// All addresses at which the instance listens.
+    pub addresses: [SocketAddr; 3],
     /// Proxy to which callers connect.
     pub caller_proxy: Proxy,
     /// Proxy to which other instances connect.
@@ -129,22 +132,27 @@
 }
 
 impl Deployment {
-    /// Starts a deployment whose instances run `program` and keep their files in `directory`.
+    /// Starts a deployment whose instances run `program` and keep their files in `directory`. Each
+    /// instance gets one of `hang_ups` at its starts.
     ///
     /// # Errors
     ///
     /// Returns an I/O error if an address can't be bound, a file can't be written or a process
     /// can't be started.
-    pub async fn start(program: &Path, directory: &Path, sizes: &Sizes) -> io::Result<Self> {
+    pub async fn start(
+        program: &Path,
+        directory: &Path,
+        hang_ups: Vec<HangUps>,
+    ) -> io::Result<Self> {
         let history = History::default();
         let store = Store::new();
         store.set_page_size(PAGE_SIZE);
         let (server, address) = store.serve().await?;
         let replicas = Replicas::start(&history, &store).await?;
         let mut members = Vec::new();
-        for number in 0..sizes.instances {
-            let member = create_member(program, directory, number, address, &store).await?;
-            members.push(member);
+        for (number, hang_ups) in hang_ups.into_iter().enumerate() {
+            let member = create_member(program, directory, number, hang_ups, &store, address);
+            members.push(member.await?);
         }
         let deployment = Self {
             history,
@@ -224,8 +232,9 @@
     program: &Path,
     directory: &Path,
     number: usize,
-    store_address: SocketAddr,
+    hang_ups: HangUps,
     store: &Store,
+    store_address: SocketAddr,
 ) -> io::Result<Member> {
     // The port of the metrics endpoint is fixed, so each instance needs its own IP address.
     let ip = instance_address(number);
@@ -246,8 +255,9 @@
         grace_s: GRACE_S,
     };
     Ok(Member {
-        instance: Mutex::new(Instance::new(program, directory, &node)?),
+        instance: Mutex::new(Instance::new(program, directory, &node, hang_ups)?),
         readiness,
+        addresses: [callers, readiness, peers],
         caller_proxy: Proxy::start(callers).await?,
         peer_proxy,
         store_proxy,
--- a/crates/marigoldloom_soak/src/guarantees.rs
+++ b/crates/marigoldloom_soak/src/guarantees.rs
@@ -75,6 +75,9 @@
     /// An instance exits only when it is stopped or killed, and with code 0 when stopped.
     #[display("instances don't end by themselves")]
     Alive,
+    /// Requests succeed in time after all instances were killed and restarted.
+    #[display("service returns with the instances")]
+    Return,
 }
 
 /// A guarantee that was violated.
--- a/crates/marigoldloom_soak/src/history.rs
+++ b/crates/marigoldloom_soak/src/history.rs
@@ -205,6 +205,10 @@
     pub disruptions: Vec<Disruption>,
     /// Unexpected exits of processes: index of the instance, time, and exit status.
     pub unexpected_exits: Vec<(usize, Duration, String)>,
+    /// When the steps of the plan began.
+    pub steps: Vec<(Duration, String)>,
+    /// When all instances were started again after all of them had been killed. `None` before.
+    pub returned_at: Option<Duration>,
     /// Start of the maintenance phase, in which no faults are injected. `None` before.
     pub maintenance_start: Option<Duration>,
     /// When the soak's own process was late, and by how much.
--- a/crates/marigoldloom_soak/src/plan.rs
+++ b/crates/marigoldloom_soak/src/plan.rs
@@ -8,12 +8,18 @@
 use rand::{Rng, RngExt, SeedableRng};
 use serde::Serialize;
 
+use crate::plan::starts::{Disturbance, HangUps};
 use crate::proxy::Condition;
 
+pub mod starts;
+
 /// Time from the last fault to the maintenance phase: longer than the time without a fault after
 /// which the checks hold an instance to its time limits.
 pub const SETTLE_TIME: Duration = Duration::from_secs(5);
 
+/// Time from the kill of all instances after the fault phase to their start.
+pub const RETURN_TIME: Duration = Duration::from_secs(1);
+
 /// Steps drawn for each second of the fault phase.
 const STEPS_PER_SECOND: f64 = 1.0;
 
@@ -314,6 +320,28 @@
         /// Whether the first one switches to another set of shards.
         reshard: bool,
     },
+    /// An instance is disturbed, and gets SIGHUP meanwhile.
+    Disturb {
+        /// The instance.
+        instance: usize,
+        /// What disturbs it.
+        disturbance: Disturbance,
+        /// Whether it is killed and restarted at the beginning.
+        restart: bool,
+        /// Duration in microseconds, from the beginning of the program if it is restarted.
+        time_us: u64,
+    },
+    /// The store has an entry that breaks the JSON around it.
+    BreakEntry {
+        /// Kind of the entry.
+        kind: &'static str,
+        /// Name of the entry.
+        name: &'static str,
+        /// Content of the entry.
+        content: Vec<u8>,
+        /// Duration in milliseconds. `None` if the entry stays until the end of the run.
+        time_ms: Option<u64>,
+    },
 }
 
 /// A step with its time.
@@ -330,9 +358,15 @@
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize)]
 pub struct Plan {
+    /// SIGHUPs at the starts of each instance.
+    #[serde(rename = "starts")]
+    pub hang_ups: Vec<HangUps>,
     /// Steps of the fault phase: faults and planned operations.
     #[serde(rename = "trouble")]
     pub fault_steps: Vec<TimedStep>,
+    /// What follows the fault phase: all instances are killed and restarted.
+    #[serde(rename = "return")]
+    pub return_step: TimedStep,
     /// Steps of the maintenance phase: planned operations only.
     #[serde(rename = "calm")]
     pub maintenance_steps: Vec<TimedStep>,
@@ -350,12 +384,23 @@
     let mut fault_steps: Vec<_> = fault_steps.collect();
     fault_steps.extend(draw_incidents(seed, last));
     fault_steps.extend(draw_notices(seed, last, sizes));
+    let (hang_ups, start_steps) = starts::draw(seed, last, sizes);
+    fault_steps.extend(start_steps);
     fault_steps.sort_by_key(|s| s.at_ms);
     let mut maintenance_steps = draw_maintenance(&mut rng, sizes);
     maintenance_steps.extend(draw_cold_return(seed, &maintenance_steps));
     maintenance_steps.sort_by_key(|s| s.at_ms);
+    let return_step = Step::Kill {
+        instances: (0..sizes.instances).collect(),
+        down_ms: u64::try_from(RETURN_TIME.as_millis()).unwrap_or(u64::MAX),
+    };
     Plan {
+        hang_ups,
         fault_steps,
+        return_step: TimedStep {
+            at_ms: 0,
+            step: return_step,
+        },
         maintenance_steps,
     }
 }
--- a/crates/marigoldloom_soak/src/run.rs
+++ b/crates/marigoldloom_soak/src/run.rs
@@ -11,6 +11,8 @@
 use async_std::{future, task};
 use futures::future::{Either, select};
 use serde::Serialize;
+use signal_hook::consts::signal;
+use signal_hook::flag;
 
 use crate::balancer::{self, Balancer};
 use crate::callers::Callers;
@@ -30,6 +32,12 @@
 /// Time after the last request in which pending requests may end.
 const FINAL_ANSWER_WAIT: Duration = Duration::from_secs(4);
 
+/// Text in the log lines of warnings.
+const WARNING: &str = "\"WARN\"";
+
+/// Number of log lines of warnings in a trace, for each instance.
+const WARNING_LINES: usize = 3;
+
 /// Longest time of a run from its first step: several times what a plan takes.
 const RUN_TIMEOUT: Duration = Duration::from_secs(300);
 
@@ -133,9 +141,12 @@
 async fn execute_in(settings: &Settings, seed: u64, directory: &Path) -> io::Result<Report> {
     let sizes = settings.sizes();
     let plan = plan::generate(seed, &sizes);
-    let deployment = Deployment::start(&settings.program, directory, &sizes).await?;
+    // A handled signal has its default action in new processes; an ignored one would stay ignored.
+    flag::register(signal::SIGHUP, Arc::default())?;
+    let deployment = Deployment::start(&settings.program, directory, plan.hang_ups).await?;
     let deployment = Arc::new(deployment);
     let _guard = CloseOnDrop(Arc::clone(&deployment));
+    let restarts = task::spawn(steps::restart_exited(Arc::clone(&deployment)));
     for member in &deployment.members {
         balancer::wait_until_ready(member).await;
     }
@@ -146,9 +157,11 @@
         task::spawn(callers.clone().run(seed, settings.rate)),
         task::spawn(deployment.history.clone().record_stalls()),
     ];
-    let restarts = task::spawn(steps::restart_exited(Arc::clone(&deployment)));
     let steps = async {
         steps::execute(&deployment, &callers, plan.fault_steps).await?;
+        let returned_at = deployment.history.now() + plan::RETURN_TIME;
+        deployment.history.observations().returned_at = Some(returned_at);
+        steps::execute(&deployment, &callers, vec![plan.return_step]).await?;
         task::sleep(SETTLE_TIME).await;
         let now = deployment.history.now();
         deployment.history.observations().maintenance_start = Some(now);
@@ -209,8 +222,8 @@
     }
 }
 
-/// Collects the disruptions, the stalls, and the observations and log lines of the request that
-/// shows `violation`.
+/// Collects the disruptions, the stalls, the steps, the latest warnings, and the observations and log
+/// lines of the request that shows `violation`.
 fn trace(
     deployment: &Deployment,
     observations: &Observations,
@@ -220,6 +233,12 @@
         format!("disruptions: {:?}", observations.disruptions),
         format!("stalls of the soak: {:?}", observations.stalls),
     ];
+    let steps = observations.steps.iter();
+    trace.extend(steps.map(|(at, step)| format!("step at {at:?}: {step}")));
+    for member in &deployment.members {
+        let warnings = member.instance().log_lines(WARNING)?;
+        trace.extend(warnings.into_iter().rev().take(WARNING_LINES));
+    }
     let Some(id) = &violation.request else {
         return Ok(trace);
     };
--- a/crates/marigoldloom_soak/src/steps.rs
+++ b/crates/marigoldloom_soak/src/steps.rs
@@ -1,6 +1,7 @@
 //! Executes the steps of a plan and restarts instances that exit unexpectedly.
 
 use std::io;
+use std::net::TcpListener;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -14,8 +15,9 @@
 use crate::callers::Callers;
 use crate::deployment::{Deployment, FETCH_SERVICE, GRACE_S, JOB_SERVICE, shards};
 use crate::history::{DrainTarget, RequestKind, Scope};
+use crate::plan::starts::Disturbance;
 use crate::plan::{EntryKind, Link, Outage, Step, TimedStep};
-use crate::process::Instance;
+use crate::process::{self, Instance};
 use crate::proxy::Condition;
 use crate::replicas::Stutter;
 
@@ -45,6 +47,8 @@
         .into_iter()
         .map(|TimedStep { at_ms, step }| async move {
             task::sleep(Duration::from_millis(at_ms)).await;
+            let begun = (deployment.history.now(), format!("{step:?}"));
+            deployment.history.observations().steps.push(begun);
             execute_step(deployment, callers, step).await
         });
     future::try_join_all(steps).await?;
@@ -202,6 +206,28 @@
             evacuate_domain(deployment, domain, time_ms).await;
             Ok(())
         }
+        Step::Disturb {
+            instance,
+            disturbance,
+            restart,
+            time_us,
+        } => {
+            let time = Duration::from_micros(time_us);
+            disturb(deployment, instance, disturbance, restart, time).await
+        }
+        Step::BreakEntry {
+            kind,
+            name,
+            content,
+            time_ms,
+        } => {
+            deployment.store.put_raw(kind, name, content);
+            if let Some(time_ms) = time_ms {
+                task::sleep(Duration::from_millis(time_ms)).await;
+                deployment.store.remove(kind, name);
+            }
+            Ok(())
+        }
         Step::Configure {
             count,
             gap_ms,
@@ -266,6 +292,49 @@
     Ok(())
 }
 
+/// Disturbs an instance and sends it SIGHUP in the middle of `time`.
+async fn disturb(
+    deployment: &Deployment,
+    instance: usize,
+    disturbance: Disturbance,
+    restart: bool,
+    time: Duration,
+) -> io::Result<()> {
+    let (history, member) = (&deployment.history, &deployment.members[instance]);
+    let disruption = restart.then(|| history.begin_disruption(Scope::Instance(instance)));
+    let listener = {
+        let mut instance = member.instance();
+        if restart {
+            instance.kill()?;
+        }
+        instance.write_settings(Some(disturbance))?;
+        let listener = match disturbance {
+            Disturbance::AddressInUse(index) => Some(TcpListener::bind(member.addresses[index])?),
+            _ => None,
+        };
+        if restart {
+            instance.start()?;
+        }
+        listener
+    };
+    let started = member.instance().pid().filter(|_| restart);
+    if let Some(pid) = started {
+        task::spawn_blocking(move || process::wait_for_program(pid)).await;
+    }
+    task::sleep(time / 2).await;
+    member.instance().signal(Signal::HUP)?;
+    task::sleep(time / 2).await;
+    drop(listener);
+    match disturbance {
+        Disturbance::Stop => stop(deployment, instance).await?,
+        _ => member.instance().write_settings(None)?,
+    }
+    match disruption {
+        Some(disruption) => start(deployment, instance, disruption).await,
+        None => Ok(()),
+    }
+}
+
 /// Stops an instance with SIGTERM, kills it if it exceeds its grace period, and restarts it.
 async fn stop(deployment: &Deployment, instance: usize) -> io::Result<()> {
     let member = &deployment.members[instance];
@@ -275,37 +344,36 @@
     let process = member.instance().process_number();
     member.instance().signal(Signal::TERM)?;
     let deadline = Instant::now() + Duration::from_secs(GRACE_S) + STOP_MARGIN;
-    let code = loop {
+    let failure = loop {
         let exited = poll_stop(&mut member.instance(), process, deadline)?;
         match exited {
-            Some(code) => break code,
+            Some(failure) => break failure,
             None => task::sleep(EXIT_POLL_PERIOD).await,
         }
     };
-    if code.is_some_and(|code| code != 0) {
-        record_exit(
-            deployment,
-            instance,
-            &format!("exit code {code:?} after a stop"),
-        );
+    if let Some(failure) = failure {
+        record_exit(deployment, instance, &format!("{failure}, after a stop"));
     }
     task::sleep(RESTART_DELAY).await;
     start(deployment, instance, disruption).await
 }
 
 /// Returns `None` while the process with the number `process` runs, and kills it at `deadline`.
-/// The inner value is its exit code, or `None` if a signal killed it.
+/// The inner value describes its exit, unless it has exited with code 0 or was killed by the soak.
 fn poll_stop(
     instance: &mut Instance,
     process: u32,
     deadline: Instant,
-) -> io::Result<Option<Option<i32>>> {
+) -> io::Result<Option<Option<String>>> {
     // Another step may have killed the process and started a new one.
     if instance.process_number() != process || !instance.is_running() {
         return Ok(Some(None));
     }
     if let Some(status) = instance.try_wait()? {
-        return Ok(Some(status.code()));
+        return Ok(Some(match status.code() {
+            Some(0) => None,
+            _ => Some(instance.describe_exit(status)),
+        }));
     }
     if Instant::now() < deadline {
         return Ok(None);
@@ -398,7 +466,7 @@
                 continue;
             }
             if let Some(status) = instance.try_wait()? {
-                record_exit(&deployment, number, &status.to_string());
+                record_exit(&deployment, number, &instance.describe_exit(status));
                 instance.start()?;
             }
         }
--- a/crates/marigoldloom_soak/tests/checks.rs
+++ b/crates/marigoldloom_soak/tests/checks.rs
@@ -259,6 +259,19 @@
     }
 }
 
+/// Adds a return of all instances at 45 s, and 60 requests at `sent_at`, of which `served` are
+/// served.
+fn add_return(observations: &mut Observations, served: u32, sent_at: u64) {
+    observations.returned_at = Some(ms(45_000));
+    add_fetches(observations, "returned", served, sent_at);
+    for number in served..60 {
+        let id = format!("refused{number}");
+        let refusal = response(503, "", Vec::new());
+        let request = request(RequestKind::Fetch, &id, sent_at, refusal);
+        observations.requests.insert(Arc::from(id), request);
+    }
+}
+
 fn set_end(observations: &mut Observations, id: &str, at: u64, outcome: Outcome) {
     observations.requests.get_mut(id).unwrap().end = Some((ms(at), outcome));
 }
@@ -502,6 +515,17 @@
             o.unexpected_exits
                 .push((0, ms(1_000), "exit status: 1".to_owned()));
         }),
+        case("signal ends an instance", Guarantee::Alive, |o| {
+            o.unexpected_exits
+                .push((0, ms(1_000), "signal: 1 (SIGHUP)".to_owned()));
+        }),
+        case(
+            "few requests served after a return",
+            Guarantee::Return,
+            |o| {
+                add_return(o, 14, 57_500);
+            },
+        ),
     ];
     for Case {
         name,
@@ -570,6 +594,18 @@
     }
 }
 
+/// Guards against false alarms at the bounds of what must be served after a return.
+#[test]
+fn bounds_of_a_return_are_kept() {
+    for (served, sent_at) in [(15, 57_500), (0, 56_900), (0, 60_100)] {
+        let mut observations = valid_observations();
+        add_return(&mut observations, served, sent_at);
+        let found = checks::violations(&observations);
+        let missed = found.iter().any(|v| v.guarantee == Guarantee::Return);
+        assert!(!missed, "{served} served at {sent_at} ms: {found:?}");
+    }
+}
+
 /// Guards against false alarms: a disruption of the store, an instance or a replica explains late
 /// reactions.
 #[test]
--- a/crates/marigoldloom_soak/tests/plan.rs
+++ b/crates/marigoldloom_soak/tests/plan.rs
@@ -35,12 +35,14 @@
         .collect();
     let expected = [
         "Behave",
+        "BreakEntry",
         "Chill",
         "Configure",
         "Crash",
         "CrashReplicas",
         "CrashSplit",
         "Decline",
+        "Disturb",
         "Evacuate",
         "Forget",
         "HangUp",
@@ -87,3 +89,19 @@
         );
     }
 }
+
+/// Guards against runs in which instances don't start under signals or don't return together.
+#[test]
+fn plans_signal_starts_and_return_all_instances() {
+    for seed in 0..50 {
+        let plan = plan::generate(seed, &SIZES);
+        assert_eq!(plan.hang_ups.len(), SIZES.instances, "seed {seed}");
+        let mut delays = plan.hang_ups.iter().flatten().flatten();
+        assert!(delays.all(|us| *us < 30_000), "seed {seed}");
+        let all = Step::Kill {
+            instances: (0..SIZES.instances).collect(),
+            down_ms: 1_000,
+        };
+        assert_eq!(plan.return_step.step, all, "seed {seed}");
+    }
+}
