Start the tasks that an instance can't work without again after a panic

After a panic in the task that follows the platform, an instance went on with the records that it had and followed nothing any more, until somebody restarted it; one that panicked at the start never got ready. The same held for the tasks that count the instances, exchange state with them and run version moves. The executor drops a task that panics and goes on with the others.

These tasks are now started again after a second, and a log line says so. Each begins anew with what it reads from the platform; the view in force stays until then.

Evidence: without the change the test ends with the panic of the first start. No input is known that makes these tasks panic now.

--- a/crates/marigoldloom_catalog/src/fleet.rs
+++ b/crates/marigoldloom_catalog/src/fleet.rs
@@ -12,6 +12,7 @@
 
 use marigoldloom_routing::home;
 use marigoldloom_runtime::runtime::{self, Runtime};
+use marigoldloom_runtime::supervisor;
 
 use crate::relay::Roster;
 use crate::source::{Error, Source};
@@ -65,18 +66,29 @@
     S: Source,
     F: Fn(Vec<Member>),
 {
+    let start = || follow_once(&rt, &source, &own, &roster, &apply);
+    supervisor::supervise(&rt, "instances", start).await;
+}
+
+async fn follow_once(
+    rt: &impl Runtime,
+    source: &impl Source,
+    own: &Member,
+    roster: &Roster,
+    apply: impl Fn(Vec<Member>),
+) {
     let mut attempt = 0;
     let registered = loop {
         match source.members().await {
-            Ok(members) => break members.contains(&own),
-            Err(error) => back_off(&rt, "list of instances", &error, &mut attempt).await,
+            Ok(members) => break members.contains(own),
+            Err(error) => back_off(rt, "list of instances", &error, &mut attempt).await,
         }
     };
     if !registered {
         roster.expect_members();
         let mut attempt = 0;
-        while let Err(error) = source.register(&own).await {
-            back_off(&rt, "registration", &error, &mut attempt).await;
+        while let Err(error) = source.register(own).await {
+            back_off(rt, "registration", &error, &mut attempt).await;
         }
         rt.sleep(FIRST_COUNT_DELAY).await;
     }
@@ -94,7 +106,7 @@
                 }
                 rt.sleep(COUNT_PERIOD).await;
             }
-            Err(error) => back_off(&rt, "list of instances", &error, &mut attempt).await,
+            Err(error) => back_off(rt, "list of instances", &error, &mut attempt).await,
         }
     }
 }
--- a/crates/marigoldloom_catalog/src/follower.rs
+++ b/crates/marigoldloom_catalog/src/follower.rs
@@ -12,6 +12,7 @@
 
 use futures::future::{self, Either};
 use marigoldloom_runtime::runtime::{self, Runtime};
+use marigoldloom_runtime::supervisor;
 use marigoldloom_runtime::time::{self, Timestamp};
 
 use crate::catalog::{Catalog, Place, RecoveredAt};
@@ -120,6 +121,17 @@
 
 /// Keeps a catalog up to date and passes each new view to `apply`. Runs until it is dropped.
 pub async fn follow<R, S, P, F>(rt: R, sources: Sources<S, P>, place: Place, apply: F)
+where
+    R: Runtime,
+    S: Source,
+    P: Peers,
+    F: Fn(View),
+{
+    let start = || follow_once(rt.clone(), sources.clone(), place.clone(), &apply);
+    supervisor::supervise(&rt, "follower", start).await;
+}
+
+async fn follow_once<R, S, P, F>(rt: R, sources: Sources<S, P>, place: Place, apply: F)
 where
     R: Runtime,
     S: Source,
--- a/crates/marigoldloom_catalog/tests/follower.rs
+++ b/crates/marigoldloom_catalog/tests/follower.rs
@@ -13,6 +13,7 @@
 use marigoldloom_catalog::relay::{self, Roster};
 use marigoldloom_catalog::replica::Replica;
 use marigoldloom_catalog::source::{Invalid, Kind, Record};
+use marigoldloom_catalog::view::View;
 use marigoldloom_runtime::runtime::Runtime;
 use marigoldloom_runtime::time::Timestamp;
 use marigoldloom_testkit::virtual_runtime::{self, VirtualRuntime};
@@ -99,6 +100,40 @@
     });
 }
 
+/// Guards against an instance that follows nothing any more, and says so nowhere, after a panic in the
+/// task that follows the platform.
+#[test]
+fn platform_is_followed_after_a_panic() {
+    virtual_runtime::block_on(1, |rt| async move {
+        let platform = FakePlatform::new(rt.clone());
+        platform.set(Kind::Configuration, "main", Some(configuration(3)));
+        platform.set(Kind::Replicas, "r1", Some(replica("r1", false)));
+        let place = Place {
+            domain: Arc::from("north"),
+            regions: BTreeMap::new(),
+        };
+        let latest = LatestView::default();
+        let views = latest.clone();
+        let apply = move |view: View| {
+            assert_ne!(view.version, 4, "a fault of this version");
+            views.set(Arc::new(view));
+        };
+        rt.spawn(follower::follow(
+            rt.clone(),
+            sources(&platform),
+            place,
+            apply,
+        ));
+        rt.sleep(Duration::from_secs(1)).await;
+        platform.set(Kind::Configuration, "main", Some(configuration(4)));
+        rt.sleep(Duration::from_secs(5)).await;
+        assert_eq!(in_force(&latest), Some((3, first_replica())));
+        platform.set(Kind::Configuration, "main", Some(configuration(5)));
+        rt.sleep(Duration::from_secs(3)).await;
+        assert_eq!(in_force(&latest), Some((5, first_replica())));
+    });
+}
+
 fn both_replicas() -> Vec<String> {
     vec!["r1".to_owned(), "r2".to_owned()]
 }
--- a/crates/marigoldloom_front/src/exchange.rs
+++ b/crates/marigoldloom_front/src/exchange.rs
@@ -19,6 +19,7 @@
 use marigoldloom_peers::exchange::{Entry, Exchange, Space};
 use marigoldloom_peers::shared_map::{Outcome, SharedMap};
 use marigoldloom_runtime::runtime::{self, Runtime};
+use marigoldloom_runtime::supervisor;
 use serde::{Deserialize, Serialize};
 
 use crate::peer_client::{self, PeerClient};
@@ -131,6 +132,11 @@
     /// wrote, or that was read from the platform, and that replaced an older one here. Runs until it is
     /// dropped.
     pub(crate) async fn run(self, apply: impl Fn(&Entry)) {
+        let start = || self.run_once(&apply);
+        supervisor::supervise(&self.inner.rt, "exchange", start).await;
+    }
+
+    async fn run_once(&self, apply: impl Fn(&Entry)) {
         let applied = async {
             while let Ok(entry) = self.inner.accepted.1.recv().await {
                 apply(&entry);
--- a/crates/marigoldloom_front/src/moves.rs
+++ b/crates/marigoldloom_front/src/moves.rs
@@ -13,6 +13,7 @@
 use marigoldloom_records::version_move::{Order, Phase};
 use marigoldloom_routing::topology;
 use marigoldloom_runtime::runtime::{self, Runtime};
+use marigoldloom_runtime::supervisor;
 use marigoldloom_runtime::time::Timestamp;
 
 use crate::exchange::PeerExchange;
@@ -53,13 +54,24 @@
     moves: Moves<R>,
     latest: LatestView,
     feed: Arc<Feed>,
+) {
+    let start = || run_once(&rt, &source, &moves, &latest, &feed);
+    supervisor::supervise(&rt, "moves", start).await;
+}
+
+async fn run_once<R: Runtime>(
+    rt: &R,
+    source: &impl Source,
+    moves: &Moves<R>,
+    latest: &LatestView,
+    feed: &Feed,
 ) {
     let mut writes = Writes::default();
     loop {
         let view = latest.get();
         let orders = view.as_ref().map_or(&[][..], |view| &view.moves);
         let due = moves.tick(orders, feed.follows(rt.now(), Kind::Moves));
-        for order in writes.take_due(&rt, &moves, due) {
+        for order in writes.take_due(rt, moves, due) {
             let (source, phase) = (source.clone(), order.phase.unwrap_or_default());
             rt.spawn(async move { write(&source, &order, phase).await });
         }
--- a/crates/marigoldloom_runtime/src/lib.rs
+++ b/crates/marigoldloom_runtime/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod descriptors;
 pub mod runtime;
 pub mod scope;
+pub mod supervisor;
 pub mod time;
