Let new instances try requests that saved strikes refuse

Callers got 503 for a harmless request for ten minutes after replicas and then all instances had ended: the saved strikes refused it, and only instances with strikes of their own tried a refused request. None of them was left.

Instances without strikes try too now, after all those with strikes: 5 to 10 s later than the trial is due, each after a delay that follows from its random number. Strikes that were read from the platform stand for no instance. A trial of such an instance is published with the strikes that it knows, because a record without strikes would clear them.

The existing case "all instances are replaced" expected no trial, which is the fault. It expects two now, the bound on trials over all instances that the other cases check.

--- a/crates/marigoldloom_front/src/strikes.rs
+++ b/crates/marigoldloom_front/src/strikes.rs
@@ -16,9 +16,6 @@
 
 use crate::exchange::PeerExchange;
 
-/// Writer of strikes that were read from the platform.
-const SAVED: &str = "saved";
-
 /// End of the names of entries with numbers of silent upstreams.
 const SILENCE_SUFFIX: &str = "/silence";
 
@@ -89,7 +86,7 @@
 /// Returns the entry to save if `change` concerns a request that instances refuse, or that they
 /// refused until it was cleared.
 pub(crate) fn saved_entry(change: &StrikeChange<'_>) -> Option<Entry> {
-    let saved = || entry(change.fingerprint, change.total, SAVED);
+    let saved = || entry(change.fingerprint, change.total, fingerprint::SAVED_ORIGIN);
     change.refused.then(saved)
 }
 
--- a/crates/marigoldloom_limits/src/fingerprint.rs
+++ b/crates/marigoldloom_limits/src/fingerprint.rs
@@ -37,6 +37,15 @@
 /// Additional delay of a trial for each instance with later strikes, which tries first.
 const TRIAL_STAGGER: Duration = Duration::from_secs(15);
 
+/// Time by which an instance without strikes of its own tries a refused request later than one with
+/// strikes, and the greatest additional delay. The latter differs between instances, so that the
+/// others know of the trial before their own is due.
+const BYSTANDER_DELAY: Duration = Duration::from_secs(5);
+const BYSTANDER_SPREAD: Duration = Duration::from_secs(5);
+
+/// Origin of strikes that were saved, by instances that may have ended since.
+pub const SAVED_ORIGIN: &str = "saved";
+
 /// Time between two reports by different instances of the same end of an upstream.
 const SAME_END: Duration = Duration::from_millis(300);
 
@@ -361,9 +370,9 @@
     }
 
     /// Begins a trial of a request of which all fingerprints in `refused` are refused, if this
-    /// instance may try it: it has recorded strikes against each of them, and instances with later
-    /// strikes have let their time for it pass. Returns all strikes of this instance against each
-    /// fingerprint, to be sent to peers; `None` if no trial is due.
+    /// instance may try it: instances with later strikes have let their time for it pass. Instances
+    /// without strikes come last; there may be no other. Returns all strikes of this instance against
+    /// each fingerprint, to be sent to peers; `None` if no trial is due.
     ///
     /// The last fingerprint decides the order of the instances. Each fingerprint may order them
     /// differently, and no instance would come first for all of them.
@@ -373,17 +382,30 @@
         refused: &[Fingerprint],
     ) -> Option<Vec<(Fingerprint, Strikes)>> {
         let mut inner = self.lock();
-        let later = inner.later_instances(*refused.last()?);
-        if !refused.iter().all(|f| inner.is_trial_due(now, *f, later)) {
+        let wait = inner.trial_wait(*refused.last()?, self.origin);
+        if !refused.iter().all(|f| inner.is_trial_due(now, *f, wait)) {
             return None;
         }
         let begun = refused.iter().map(|fingerprint| {
-            let strikes = &mut inner.own.get_mut(fingerprint)?.strikes;
-            strikes.trials += 1;
-            strikes.latest = now;
-            Some((*fingerprint, strikes.clone()))
+            // The record of a trial needs strikes: without them it would clear those of others.
+            let known = match inner.own_strikes(*fingerprint) {
+                Some(own) => own.clone(),
+                None => Strikes {
+                    trials: 0,
+                    ..inner.total(now, *fingerprint)
+                },
+            };
+            let strikes = Strikes {
+                trials: known.trials + 1,
+                latest: known.latest.max(now),
+                origin: self.origin,
+                ..known
+            };
+            let own = inner.own.entry(*fingerprint).or_default();
+            own.strikes = strikes.clone();
+            (*fingerprint, strikes)
         });
-        begun.collect()
+        Some(begun.collect())
     }
 
     /// Claims the canary run of `fingerprint`: the run on a single shard that shows whether the
@@ -424,23 +446,30 @@
         own.filter(|s| s.count > 0 && s.latest > self.exonerated_at(fingerprint))
     }
 
-    /// Number of instances that try a refused request before this one.
-    fn later_instances(&self, fingerprint: Fingerprint) -> u32 {
-        let own = self.own_strikes(fingerprint).map(Strikes::rank);
-        let peers = self.peers.get(&fingerprint);
-        let peers = peers.into_iter().flat_map(BTreeMap::values);
-        let later = peers.filter(|s| s.count > 0 && Some(s.rank()) >= own);
-        u32::try_from(later.count()).unwrap_or(u32::MAX)
+    /// Time that the process `origin` leaves to other instances to try a refused request.
+    fn trial_wait(&self, fingerprint: Fingerprint, origin: u64) -> Duration {
+        let peers = self.peers.get(&fingerprint).into_iter().flatten();
+        let struck = peers.filter(|(_, s)| s.count > 0);
+        let (later, delay) = match self.own_strikes(fingerprint) {
+            Some(own) => {
+                let later = struck.filter(|(_, s)| s.rank() >= own.rank());
+                (later.count(), Duration::ZERO)
+            }
+            None => {
+                let later = struck.filter(|(name, _)| ***name != *SAVED_ORIGIN);
+                (later.count(), bystander_delay(fingerprint, origin))
+            }
+        };
+        let later = u32::try_from(later).unwrap_or(u32::MAX);
+        delay.saturating_add(TRIAL_STAGGER.saturating_mul(later))
     }
 
-    /// Whether this instance has recorded strikes against a refused fingerprint and the `later`
-    /// instances before it have let their time for a trial pass.
-    fn is_trial_due(&self, now: time::WallTime, fingerprint: Fingerprint, later: u32) -> bool {
+    /// Whether a fingerprint is refused and the time until its next trial and `wait` have passed.
+    fn is_trial_due(&self, now: time::WallTime, fingerprint: Fingerprint, wait: Duration) -> bool {
         let total = self.total(now, fingerprint);
-        match (self.own_strikes(fingerprint), trial_delay(total.trials)) {
-            (Some(_), Some(delay)) if total.count >= STRIKE_LIMIT => {
-                let delay = delay.saturating_add(TRIAL_STAGGER.saturating_mul(later));
-                now.since(total.latest) >= delay
+        match trial_delay(total.trials) {
+            Some(delay) if total.count >= STRIKE_LIMIT => {
+                now.since(total.latest) >= delay.saturating_add(wait)
             }
             _ => false,
         }
@@ -492,6 +521,12 @@
     TRIAL_DELAYS.get(index).copied()
 }
 
+/// Delay of a trial by the process `origin` if it has no strikes of its own.
+fn bystander_delay(fingerprint: Fingerprint, origin: u64) -> Duration {
+    let hash = xxh3::xxh3_64_with_seed(&fingerprint.0.to_le_bytes(), origin);
+    BYSTANDER_DELAY + BYSTANDER_SPREAD.mul_f64(hash as f64 / u64::MAX as f64)
+}
+
 fn is_same(a: End, b: End) -> bool {
     let apart = a.at.since(b.at).max(b.at.since(a.at));
     a.upstream == b.upstream && apart < SAME_END
--- a/crates/marigoldloom_limits/tests/strikes.rs
+++ b/crates/marigoldloom_limits/tests/strikes.rs
@@ -1,7 +1,7 @@
 //! Tests how many strikes the ends of upstreams add up to.
 
 use marigoldloom_limits::fingerprint::{
-    CrashTracker, FatalRun, Fingerprint, STRIKE_LIMIT, Status, Strikes,
+    CrashTracker, FatalRun, Fingerprint, SAVED_ORIGIN, STRIKE_LIMIT, Status, Strikes,
 };
 use marigoldloom_runtime::time::WallTime;
 
@@ -185,7 +185,7 @@
             period: 1_000,
             replaced: vec![0, 1, 2, 3],
             harmless: false,
-            trials: 0,
+            trials: 2,
         },
         Case {
             name: "upstreams survive",
@@ -323,3 +323,90 @@
         );
     }
 }
+
+/// Guards against a harmless request that is refused for minutes after the loss of all instances: those
+/// that read the saved strikes have none of their own.
+#[test]
+fn saved_strikes_of_a_harmless_request_are_cleared_by_new_instances() {
+    struct Case {
+        name: &'static str,
+        /// Trials before the loss.
+        trials: u32,
+        harmless: bool,
+        /// Trials afterwards.
+        expected: u32,
+    }
+    let cases = [
+        Case {
+            name: "harmless",
+            trials: 0,
+            harmless: true,
+            expected: 1,
+        },
+        Case {
+            name: "crashing",
+            trials: 0,
+            harmless: false,
+            expected: 2,
+        },
+        Case {
+            name: "crashing and tried once before",
+            trials: 1,
+            harmless: false,
+            expected: 1,
+        },
+        Case {
+            name: "tried twice before",
+            trials: 2,
+            harmless: false,
+            expected: 0,
+        },
+    ];
+    let fingerprints = [b"service", b"callers"].map(|body| Fingerprint::new(&["search"], body));
+    for case in cases {
+        let trackers = [1, 2, 3, 4].map(CrashTracker::new);
+        let saved = Strikes {
+            count: STRIKE_LIMIT,
+            latest: WallTime(1_000),
+            trials: case.trials,
+            ..Strikes::default()
+        };
+        for (tracker, fingerprint) in trackers.iter().flat_map(|t| fingerprints.map(|f| (t, f))) {
+            tracker.merge(SAVED_ORIGIN, fingerprint, saved.clone());
+        }
+        let mut trials = Vec::new();
+        // The request comes to each instance every 100 ms, and records reach the others before the next.
+        for step in 0..5_000 {
+            let now = WallTime(1_000 + step * 100);
+            for from in 0..trackers.len() {
+                let Some(begun) = trackers[from].begin_trial(now, &fingerprints) else {
+                    continue;
+                };
+                trials.push(step * 100);
+                for (fingerprint, own) in begun {
+                    share(&trackers, from, fingerprint, &own, |_| true);
+                    let own = match case.harmless {
+                        true => trackers[from].clear_strikes(now, fingerprint),
+                        false => trackers[from].add_strike(now, fingerprint, None),
+                    };
+                    share(&trackers, from, fingerprint, &own.unwrap(), |_| true);
+                }
+            }
+        }
+        let count = u32::try_from(trials.len()).unwrap();
+        assert_eq!(count, case.expected, "{}: {trials:?}", case.name);
+        let first = trials.first().copied().unwrap_or(15_000);
+        let due = match case.trials {
+            0 => 15_000..=20_000,
+            _ => 15_000..=80_000,
+        };
+        assert!(due.contains(&first), "{}: {trials:?}", case.name);
+        let refused = |t: &CrashTracker| t.strike_count(WallTime(502_000), fingerprints[1]) > 0;
+        assert_eq!(
+            trackers.iter().any(refused),
+            !case.harmless,
+            "{}",
+            case.name
+        );
+    }
+}
