--- a/crates/marigoldloom_front/src/signals.rs
+++ b/crates/marigoldloom_front/src/signals.rs
@@ -43,8 +43,8 @@
         })
     }
 
-    /// Returns the next signal that has arrived already.
-    pub fn take(&mut self) -> Option<Signal> {
+    /// Returns the signal to act on, of those that have arrived.
+    fn take(&mut self) -> Option<Signal> {
         let signals = self.delivery.pending().map(|number| match number {
             signal::SIGHUP => Signal::Reload,
             stop => Signal::Stop(stop),
