Go on when the log reaches the limit on the size of files

A process whose standard output is a file ended by SIGXFSZ as soon as the file had the size that the process's limit allows. The more it logs and the longer it runs, the sooner it ends, and its last lines don't say why; started again with the same file, it ends at once.

The default action of that signal is to end the process. It has a handler now, so that only the write fails; the log's thread ignores failed writes already.

The telemetry crate uses signal-hook, which the workspace has already.

--- a/crates/marigoldloom_telemetry/src/log.rs
+++ b/crates/marigoldloom_telemetry/src/log.rs
@@ -2,12 +2,15 @@
 
 use std::fmt::Display;
 use std::io::{self, Write};
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, mpsc};
 use std::time::{Duration, Instant};
 use std::{panic, thread};
 
 use derive_more::derive;
 use serde::{Deserialize, Serialize};
+use signal_hook::consts::signal;
+use signal_hook::flag;
 use tracing::{Level, Metadata};
 use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::filter::FilterExt;
@@ -45,6 +48,10 @@
     /// Logging was initialized before.
     #[display("logging is already initialized")]
     AlreadyInitialized,
+    /// The signal for a file that is too large can't be handled.
+    #[from(skip)]
+    #[display("signals can't be handled: {_0}")]
+    Signal(io::Error),
 }
 
 /// Writes log lines that match `level`, such as `info` or `marigoldloom_query=debug,info`, to
@@ -111,13 +118,19 @@
 
 /// Writes log lines that match `level` as JSON to standard output, from a thread of its own, until
 /// the returned [`Log`] is dropped. Lines beyond [`LINES_PER_SECOND`] other than warnings and
-/// errors, and lines that don't fit into the buffer, are dropped and counted.
+/// errors, and lines that don't fit into the buffer, are dropped and counted. So are, without a count,
+/// lines that can't be written.
 ///
 /// # Errors
 ///
-/// If `level` isn't a valid filter directive, or logging was initialized before.
+/// If `level` isn't a valid filter directive, logging was initialized before, or a signal handler can't
+/// be installed.
 pub fn init_stdout(level: &str) -> Result<Log, Error> {
     let filter = level.parse::<EnvFilter>()?;
+    // By default the signal ends the process when the log reaches the limit on the size of files. With
+    // a handler, only the write fails.
+    let reached = Arc::new(AtomicBool::new(false));
+    flag::register(signal::SIGXFSZ, reached).map_err(Error::Signal)?;
     let (writer, guard) = NonBlockingBuilder::default()
         .lossy(true)
         .buffered_lines_limit(BUFFER_LINES)
