Don't count a trial that reached no upstream

Callers got 503 for a harmless request for a minute after all its replicas were back: replicas that are away for more than 10 s are still away when the first trial is due. It was counted although no upstream ran the request, and the next one was due 60 s later.

A trial is taken back if no upstream can have run the request. The next one is due 10 s later, as before it.

--- a/crates/marigoldloom_limits/src/fingerprint.rs
+++ b/crates/marigoldloom_limits/src/fingerprint.rs
@@ -408,6 +408,24 @@
         Some(begun.collect())
     }
 
+    /// Takes back a trial that reached no upstream; the next one is due after the same time. Returns all
+    /// strikes of this instance against each fingerprint, to be sent to peers.
+    pub fn cancel_trial(
+        &self,
+        now: time::WallTime,
+        refused: &[Fingerprint],
+    ) -> Vec<(Fingerprint, Strikes)> {
+        let mut inner = self.lock();
+        let cancelled = refused.iter().filter_map(|fingerprint| {
+            let strikes = &mut inner.own.get_mut(fingerprint)?.strikes;
+            strikes.trials = strikes.trials.checked_sub(1)?;
+            // Peers ignore a record that isn't later.
+            strikes.latest = now.max(strikes.latest + Duration::from_millis(1));
+            Some((*fingerprint, strikes.clone()))
+        });
+        cancelled.collect()
+    }
+
     /// Claims the canary run of `fingerprint`: the run on a single shard that shows whether the
     /// request crashes upstreams. None while another request holds it.
     pub fn claim_canary(self: &Arc<Self>, fingerprint: Fingerprint) -> Option<Canary> {
--- a/crates/marigoldloom_limits/tests/strikes.rs
+++ b/crates/marigoldloom_limits/tests/strikes.rs
@@ -410,3 +410,24 @@
         );
     }
 }
+
+/// Guards against trials that are spent while no upstream can be reached.
+#[test]
+fn cancelled_trial_is_not_spent() {
+    let (tracker, peer) = (CrashTracker::new(1), CrashTracker::new(2));
+    let fingerprint = Fingerprint::new(&["search"], b"same");
+    for _ in 0..STRIKE_LIMIT {
+        tracker.add_strike(WallTime(1_000), fingerprint, None);
+    }
+    for second in [11, 22, 33] {
+        let now = WallTime(second * 1_000);
+        assert!(tracker.begin_trial(now, &[fingerprint]).is_some());
+        for (fingerprint, own) in tracker.cancel_trial(now, &[fingerprint]) {
+            peer.merge("tracker", fingerprint, own);
+        }
+        let soon = WallTime(second * 1_000 + 9_000);
+        assert!(tracker.begin_trial(soon, &[fingerprint]).is_none());
+        assert_eq!(peer.total(now, fingerprint).trials, 0);
+        assert_eq!(peer.strike_count(now, fingerprint), STRIKE_LIMIT);
+    }
+}
--- a/crates/marigoldloom_query/src/crashes.rs
+++ b/crates/marigoldloom_query/src/crashes.rs
@@ -87,6 +87,23 @@
     }
 }
 
+/// A trial of a refused request. Dropping it takes the trial back if no upstream can have run the
+/// request, because that shows nothing.
+pub(crate) struct Trial<R: Runtime, U: upstream::Upstream, H: Hooks> {
+    core: Arc<Core<R, U, H>>,
+    /// Fingerprints under which the request is refused.
+    refused: Vec<fingerprint::Fingerprint>,
+    run_counter: Arc<attempt::RunCounter>,
+}
+
+impl<R: Runtime, U: upstream::Upstream, H: Hooks> Drop for Trial<R, U, H> {
+    fn drop(&mut self) {
+        if !self.run_counter.may_have_run() {
+            self.core.cancel_trial(&self.refused);
+        }
+    }
+}
+
 impl<R: Runtime, U: upstream::Upstream, H: Hooks> Query<'_, R, U, H> {
     /// Fingerprints under which crashes are counted.
     pub(crate) fn fingerprints(
@@ -138,10 +155,21 @@
         let refused: Vec<_> = self.fingerprints().filter(refused).collect();
         let due = self.core.settings.canary == engine::CanaryPolicy::AfterStrike
             && self.core.begin_trial(&refused);
-        self.trial.fetch_or(due, Ordering::Relaxed);
+        if due {
+            self.trial.get_or_init(|| Trial {
+                core: Arc::clone(self.core),
+                refused,
+                run_counter: Arc::clone(&self.run_counter),
+            });
+        }
         due
     }
 
+    /// Whether this run is a trial of a refused request.
+    pub(crate) fn is_trial(&self) -> bool {
+        self.trial.get().is_some()
+    }
+
     /// Whether an upstream crashed, or may have crashed, while it ran a request with this
     /// fingerprint.
     pub(crate) fn has_strikes(&self) -> bool {
--- a/crates/marigoldloom_query/src/engine.rs
+++ b/crates/marigoldloom_query/src/engine.rs
@@ -1,7 +1,7 @@
 //! The engine, which runs callers' requests against the current topology.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use marigoldloom_limits::{budget, fingerprint};
@@ -354,7 +354,7 @@
             first_run,
             shards_queried: AtomicU32::new(0),
             harmless: AtomicBool::new(false),
-            trial: AtomicBool::new(false),
+            trial: OnceLock::new(),
             strike_recorded: AtomicBool::new(false),
             survived: Arc::default(),
         };
--- a/crates/marigoldloom_query/src/gather.rs
+++ b/crates/marigoldloom_query/src/gather.rs
@@ -206,7 +206,7 @@
     /// quarantined, at its service or at all services.
     pub(crate) fn check_quarantine(&self) -> Result<bool, Refusal> {
         let now = self.core.rt.wall();
-        if self.trial.load(Ordering::Relaxed) || self.begin_trial() {
+        if self.is_trial() || self.begin_trial() {
             return Ok(false);
         }
         let mut harmless = true;
@@ -251,7 +251,7 @@
         let random = runtime::random_below(&self.core.rt, u64::from(self.total));
         let mut shard = self.canary_shard(u32::try_from(random).unwrap_or(0));
         let mut result = self.query_shard(shard).await;
-        let trial = self.trial.load(Ordering::Relaxed);
+        let trial = self.is_trial();
         if matches!(result, Err(Reason::Lost)) && !trial && self.take_retry() {
             shard = self.canary_shard(shard.wrapping_add(1));
             result = self.query_shard(shard).await;
--- a/crates/marigoldloom_query/src/shard.rs
+++ b/crates/marigoldloom_query/src/shard.rs
@@ -2,8 +2,8 @@
 
 use std::collections::BTreeSet;
 use std::pin;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use futures::channel::oneshot;
@@ -20,6 +20,7 @@
 
 use crate::answer::Reason;
 use crate::attempt;
+use crate::crashes::Trial;
 use crate::engine;
 use crate::hooks::{Hooks, Purpose, Versions};
 use crate::request;
@@ -54,7 +55,7 @@
 const MAX_BACKOFF: Duration = Duration::from_millis(100);
 
 /// A request pinned to one snapshot.
-pub(crate) struct Query<'a, R, U, H> {
+pub(crate) struct Query<'a, R: Runtime, U: upstream::Upstream, H: Hooks> {
     pub(crate) core: &'a Arc<state::Core<R, U, H>>,
     pub(crate) request: &'a request::Request,
     pub(crate) service: Arc<state::Service>,
@@ -79,8 +80,8 @@
     pub(crate) shards_queried: AtomicU32,
     /// Whether a request with this fingerprint is known to have run without a crash.
     pub(crate) harmless: AtomicBool,
-    /// Whether the request is refused and this run is to show whether it still crashes upstreams.
-    pub(crate) trial: AtomicBool,
+    /// Set if the request is refused and this run is to show whether it still crashes upstreams.
+    pub(crate) trial: OnceLock<Trial<R, U, H>>,
     /// Whether this query already counted a strike against its fingerprint.
     pub(crate) strike_recorded: AtomicBool,
     /// Whether an upstream has run the request without a crash.
--- a/crates/marigoldloom_query/src/state.rs
+++ b/crates/marigoldloom_query/src/state.rs
@@ -338,6 +338,14 @@
         begun.is_some()
     }
 
+    /// Takes back a trial that reached no upstream.
+    pub(crate) fn cancel_trial(&self, refused: &[fingerprint::Fingerprint]) {
+        let now = self.rt.wall();
+        for (fingerprint, own) in self.crash_tracker.cancel_trial(now, refused) {
+            self.report_strikes(fingerprint, &own, None, "a trial reached no upstream");
+        }
+    }
+
     fn report_strikes(
         &self,
         fingerprint: fingerprint::Fingerprint,
