--- a/crates/marigoldloom_catalog/src/configuration.rs
+++ b/crates/marigoldloom_catalog/src/configuration.rs
@@ -117,7 +117,8 @@
 }
 
 impl Service {
-    /// Settings that every replica can take, for a service whose settings could not be decoded.
+    /// Settings that every replica can take, for a service whose settings could not be decoded. A
+    /// cold rate of zero would be no limit.
     pub const MOST_RESTRICTED: Self = Self {
         connections: 1,
         cold_rate: f64::MIN_POSITIVE,
--- a/crates/marigoldloom_front/src/reader.rs
+++ b/crates/marigoldloom_front/src/reader.rs
@@ -33,7 +33,8 @@
     }
 
     /// Returns the result of a read that begins after the call, or `None` if there is none in time.
-    /// A read that takes longer is left alone, and the next one begins once it has ended.
+    /// A read that takes longer is left alone, and the next one begins once it has ended: one that never
+    /// ends holds up all later ones, but takes only one thread.
     pub(crate) async fn read(&mut self, rt: &impl Runtime) -> Option<T> {
         let end = rt.now() + READ_LIMIT;
         loop {
--- a/crates/marigoldloom_front/src/start.rs
+++ b/crates/marigoldloom_front/src/start.rs
@@ -13,7 +13,8 @@
 use crate::reader::Reader;
 use crate::signals::{Signal, Signals};
 
-/// Longest time that an instance waits for settings that can be used.
+/// Longest time that an instance waits for settings that can be used. Addresses are waited for without a
+/// limit, because a restart wouldn't get them sooner.
 const SETTINGS_LIMIT: Duration = Duration::from_secs(10);
 
 /// Time between two log lines about an address that can't be used.
