Time signals at starts in the soak by the program's processor time

A process that gets no processor for longer than the delay is still before `main`, where no program can handle a signal; its handlers are the first thing that `main` installs.

The delay now begins once the program has run for 0.3 ms. A program that installs its handlers after reading settings and starting the log is still found.

--- a/crates/marigoldloom_soak/src/process.rs
+++ b/crates/marigoldloom_soak/src/process.rs
@@ -21,19 +21,35 @@
 /// Longest time to wait for that.
 const PROGRAM_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Waits until a process that was just started runs its program. Before, any signal ends it, whatever
-/// the program does. The runtime of Rust handles signals from just before `main`.
+/// Processor time that the program gets before its first signal.
+const PROGRAM_CPU_TIME: Duration = Duration::from_micros(300);
+
+/// Longest time to wait for that. A program that sleeps has had its time before.
+const CPU_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Waits until a process that was just started has run its program for [`PROGRAM_CPU_TIME`]. Before, any
+/// signal ends it, whatever the program does. The runtime of Rust handles signals from just before
+/// `main`. On a busy machine a process may get no processor for longer than the delay of a signal.
 pub fn wait_for_program(pid: Pid) {
     let start = Instant::now();
-    let status = format!("/proc/{}/status", pid.as_raw_nonzero());
+    let directory = format!("/proc/{}", pid.as_raw_nonzero());
     let handles_signals = || {
-        let status = fs::read_to_string(&status).unwrap_or_default();
+        let status = fs::read_to_string(format!("{directory}/status")).unwrap_or_default();
         let mut masks = status.lines().filter_map(|l| l.strip_prefix("SigCgt:"));
         masks.any(|mask| mask.trim().bytes().any(|digit| digit != b'0'))
     };
     while !handles_signals() && start.elapsed() < PROGRAM_TIMEOUT {
         thread::sleep(PROGRAM_POLL_PERIOD);
     }
+    let cpu_time = || {
+        let stat = fs::read_to_string(format!("{directory}/schedstat")).unwrap_or_default();
+        let nanos = stat.split_whitespace().next().and_then(|n| n.parse().ok());
+        Duration::from_nanos(nanos.unwrap_or_default())
+    };
+    let (end, running) = (cpu_time() + PROGRAM_CPU_TIME, Instant::now());
+    while cpu_time() < end && running.elapsed() < CPU_TIMEOUT {
+        thread::sleep(PROGRAM_POLL_PERIOD);
+    }
 }
 
 /// An instance with its files, and its process while one runs.
