Leave the load test as planned while the rate is as planned

The count that ends a load test used the greater of two rates, of which one is measured over 0.3 s, and a smaller part of the bound than is needed, so that chance ended tests that had just enough replies.

The measured rate counts only once it is one and a half times the mean one; until then the count only guards the bound itself.

--- a/crates/marigoldloom_moves/src/plan.rs
+++ b/crates/marigoldloom_moves/src/plan.rs
@@ -34,6 +34,12 @@
 /// Part of the additional requests that the plan uses. The rate behind it is an estimate.
 const PLANNED_REQUESTS: f64 = 0.9;
 
+/// Part of the bound that may be used according to the instances' reports while the rate is as planned.
+const COUNTED_PART: f64 = 0.96;
+
+/// Ratio of the rate during the load test to the mean one from which the plan doesn't hold.
+const MIN_RISE: f64 = 1.5;
+
 /// Share of the requests that the new version gets before the load test, as a part of the bound.
 const TRIAL_PART: f64 = 0.15;
 
@@ -122,8 +128,12 @@
                 if elapsed >= start + REPORT_TIME {
                     self.samples.push_back((elapsed, traffic.all));
                 }
-                let rate = self.recent_rate().max(traffic.rate);
-                if traffic.new >= self.allowed(elapsed, rate, traffic.all) {
+                let recent = self.recent_rate();
+                let limit = match recent > traffic.rate * MIN_RISE {
+                    true => self.allowed(elapsed, recent, traffic.all, PLANNED_PART),
+                    false => self.allowed(elapsed, traffic.rate, traffic.all, COUNTED_PART),
+                };
+                if traffic.new >= limit {
                     self.cut_at.get_or_insert(elapsed);
                 }
             }
@@ -157,11 +167,11 @@
 
     /// Returns how many requests the new version may have got until the end of the load test if the
     /// service has got `all` so far.
-    fn allowed(&self, elapsed: Duration, rate: f64, all: f64) -> f64 {
+    /// `part` of the bound is used.
+    fn allowed(&self, elapsed: Duration, rate: f64, all: f64, part: f64) -> f64 {
         let left = self.window.saturating_sub(elapsed).as_secs_f64();
         let Exposure { share, requests } = self.exposure;
-        let allowed = share * PLANNED_PART * (all + rate * left) + requests * PLANNED_REQUESTS;
-        allowed - rate * SWITCH_MARGIN.as_secs_f64()
+        part * (share * (all + rate * left) + requests) - rate * SWITCH_MARGIN.as_secs_f64()
     }
 
     /// Returns how long the new version may get all requests of the service in addition to the trial
