Send the soak's signals once a process runs its program

Steps at starts waited for the program already; now all signals to a process that is younger than 0.5 s do.

--- a/crates/marigoldloom_soak/src/process.rs
+++ b/crates/marigoldloom_soak/src/process.rs
@@ -21,6 +21,9 @@
 /// Longest time to wait for that.
 const PROGRAM_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Age from which a process runs its program for sure.
+const START_TIME: Duration = Duration::from_millis(500);
+
 /// Processor time that the program gets before its first signal.
 const PROGRAM_CPU_TIME: Duration = Duration::from_micros(300);
 
@@ -194,16 +197,19 @@
         format!("{status}, signals from its start: {signals:?}, log, latest first: {lines:?}")
     }
 
-    /// Sends a signal to the process, if there is one.
+    /// Sends a signal to the process, if there is one, once it runs its program.
     ///
     /// # Errors
     ///
     /// Returns an I/O error if the signal can't be sent.
     pub fn signal(&mut self, signal: Signal) -> io::Result<()> {
         self.stopping |= signal == Signal::TERM;
+        let Some(pid) = self.pid() else { return Ok(()) };
+        if self.started_at.elapsed() < START_TIME {
+            wait_for_program(pid);
+        }
         self.signals.push((self.started_at.elapsed(), signal));
-        self.pid()
-            .map_or(Ok(()), |pid| Ok(kill_process(pid, signal)?))
+        Ok(kill_process(pid, signal)?)
     }
 
     /// Returns the exit status of the process and forgets the process if it has exited. Returns
