Show in metrics whether an instance is ready and which records fail

An instance that was up and served nothing rejected requests with "no configuration is known yet", whatever it lacked, and its metrics counted calls to the platform over all kinds of records. Only the log told one failing kind from an outage.

--- a/crates/marigoldloom_front/src/calls.rs
+++ b/crates/marigoldloom_front/src/calls.rs
@@ -22,15 +22,39 @@
         self.metrics.record_platform_call(purpose, result.is_ok());
         result
     }
+
+    /// Counts a call for the records of one kind, which may fail while others don't.
+    async fn count_kind<T>(
+        &self,
+        purpose: &'static str,
+        kind: Kind,
+        call: impl Future<Output = Result<T, Error>>,
+    ) -> Result<T, Error> {
+        let result = self.count(purpose, call).await;
+        self.metrics
+            .record_kind_call(purpose, kind_label(kind), result.is_ok());
+        result
+    }
+}
+
+/// Returns the label of a kind of records.
+const fn kind_label(kind: Kind) -> &'static str {
+    match kind {
+        Kind::Configuration => "configuration",
+        Kind::Replicas => "replicas",
+        Kind::Evacuations => "evacuations",
+        Kind::Moves => "moves",
+    }
 }
 
 impl<S: Source> Source for CountedSource<S> {
     async fn list(&self, kind: Kind) -> Result<Listing, Error> {
-        self.count("list", self.source.list(kind)).await
+        self.count_kind("list", kind, self.source.list(kind)).await
     }
 
     async fn watch(&self, kind: Kind, since: Revision) -> Result<Changes, Error> {
-        self.count("watch", self.source.watch(kind, since)).await
+        self.count_kind("watch", kind, self.source.watch(kind, since))
+            .await
     }
 
     async fn check(&self) -> Result<(), Error> {
--- a/crates/marigoldloom_front/src/endpoints.rs
+++ b/crates/marigoldloom_front/src/endpoints.rs
@@ -24,17 +24,22 @@
     pub(crate) closing: Scope,
 }
 
+impl ReadinessEndpoint {
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.closing.is_cancelled() && self.latest.get().is_some()
+    }
+}
+
 impl Handler for ReadinessEndpoint {
     fn limits(&self) -> Limits {
         Limits::default()
     }
 
     async fn handle(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
-        let ready = !self.closing.is_cancelled() && self.latest.get().is_some();
         let mut response = Response::new(Full::new(Bytes::new()));
         *response.status_mut() = match request.uri().path() {
             path if path != self.path => StatusCode::NOT_FOUND,
-            _ if ready => StatusCode::OK,
+            _ if self.is_ready() => StatusCode::OK,
             _ => StatusCode::SERVICE_UNAVAILABLE,
         };
         response
--- a/crates/marigoldloom_front/src/instance.rs
+++ b/crates/marigoldloom_front/src/instance.rs
@@ -231,6 +231,8 @@
         latest,
         closing: stop.closing.clone(),
     };
+    let observed = readiness.clone();
+    metrics.observe_readiness(move || observed.is_ready());
     listener::serve(listeners.checks, readiness, Stop::default());
     rt.spawn(serve_metrics(rt, settings.metrics_address, metrics));
     rt.spawn(report_dropped(rt, dropped));
--- a/crates/marigoldloom_front/src/rejection.rs
+++ b/crates/marigoldloom_front/src/rejection.rs
@@ -10,8 +10,8 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(derive::Display)]
 pub(crate) enum Rejection {
-    /// The instance has no configuration yet.
-    #[display("no configuration is known yet")]
+    /// The instance has no view of the platform's records yet.
+    #[display("records that requests need aren't known yet")]
     NotReady,
     /// No route matches the host and path.
     #[display("no route fits host {host:?} and path {path:?}")]
--- a/crates/marigoldloom_telemetry/src/metrics.rs
+++ b/crates/marigoldloom_telemetry/src/metrics.rs
@@ -69,12 +69,13 @@
     subqueries: Counter<u64>,
     decisions: Counter<u64>,
     platform_calls: Counter<u64>,
+    kind_calls: Counter<u64>,
     anonymous_responses: Counter<u64>,
     unmatched_responses: Counter<u64>,
     control_bytes: Counter<u64>,
     running: UpDownCounter<i64>,
     tenants: Mutex<BTreeSet<String>>,
-    _provider: SdkMeterProvider,
+    provider: SdkMeterProvider,
 }
 
 impl Metrics {
@@ -114,6 +115,10 @@
                 .u64_counter("marigoldloom_platform_calls")
                 .with_description("Calls to the platform")
                 .build(),
+            kind_calls: meter
+                .u64_counter("marigoldloom_record_calls")
+                .with_description("Calls to the platform for the records of one kind")
+                .build(),
             anonymous_responses: meter
                 .u64_counter("marigoldloom_anonymous_responses")
                 .with_description("Responses of upstreams without the id of a request")
@@ -132,7 +137,7 @@
                 .build(),
             tenants: Mutex::default(),
             registry,
-            _provider: provider,
+            provider,
         };
         Ok(Self {
             inner: Arc::new(inner),
@@ -188,6 +193,26 @@
         self.inner.platform_calls.add(1, &labels);
     }
 
+    /// Counts a finished call to the platform for the records of `kind`.
+    pub fn record_kind_call(&self, purpose: &'static str, kind: &'static str, ok: bool) {
+        let labels = [
+            KeyValue::new("purpose", purpose),
+            KeyValue::new("kind", kind),
+            KeyValue::new("ok", ok),
+        ];
+        self.inner.kind_calls.add(1, &labels);
+    }
+
+    /// Reports as a gauge whether the process is ready to serve requests, as `is_ready` tells.
+    pub fn observe_readiness(&self, is_ready: impl Fn() -> bool + Send + Sync + 'static) {
+        let meter = self.inner.provider.meter("marigoldloom");
+        meter
+            .u64_observable_gauge("marigoldloom_ready")
+            .with_description("Whether requests are served")
+            .with_callback(move |gauge| gauge.observe(u64::from(is_ready()), &[]))
+            .build();
+    }
+
     /// Counts a response of an upstream without the id of a request.
     pub fn record_anonymous_response(&self) {
         self.inner.anonymous_responses.add(1, &[]);
