--- a/review/three/main.rs
+++ b/review/three/main.rs
@@ -9,6 +9,7 @@
 use std::{env, fs, io};
 
 mod case_endless;
+mod case_restore;
 mod edge;
 mod http;
 mod json;
@@ -61,6 +62,7 @@
     ));
     let held = match case {
         "endless" => case_endless::play(&setup),
+        "restore" => case_restore::play(&setup),
         _ => Err(io::Error::new(io::ErrorKind::InvalidInput, "unknown case")),
     };
     if env::var_os("KEEP").is_none() {
