--- a/review/three/main.rs
+++ b/review/three/main.rs
@@ -10,6 +10,7 @@
 
 mod case_endless;
 mod case_frozen;
+mod case_poison;
 mod case_replaced;
 mod case_restore;
 mod dark;
@@ -66,6 +67,7 @@
     let held = match case {
         "endless" => case_endless::play(&setup),
         "frozen" => case_frozen::play(&setup),
+        "poison" => case_poison::play(&setup),
         "replaced" => case_replaced::play(&setup),
         "restore" => case_restore::play(&setup),
         _ => Err(io::Error::new(io::ErrorKind::InvalidInput, "unknown case")),
