--- a/review/three/store.rs
+++ b/review/three/store.rs
@@ -101,16 +101,6 @@
         revision
     }
 
-    /// Removes an entry of a replica that is gone.
-    pub fn remove(&self, kind: &str, name: &str) {
-        let mut control = self.control();
-        let key = (kind.to_owned(), name.to_owned());
-        control.outside.remove(&key);
-        control.state.remove(kind, name);
-        drop(control);
-        self.0.changed.notify_all();
-    }
-
     pub fn revision(&self) -> u64 {
         self.control().state.revision
     }
