--- a/review/three/case_cold.rs
+++ b/review/11/standin/case_cold.rs
@@ -10,7 +10,7 @@
 
 use crate::Setup;
 use crate::edge::{Edge, Machine};
-use crate::http;
+use crate::http::Call;
 use crate::record::Record;
 use crate::replica::{Replica, Runs};
 use crate::store::Store;
@@ -123,6 +123,7 @@
     let mut back = Vec::new();
     for (id, old) in &crashed {
         let replica = Replica::start_at(old.address, id, "permit-desk", WORK, None, &runs, record)?;
+        replica.set_cold(WARMUP);
         let (born, since) = (unix_millis(), Instant::now());
         record.line(format!(
             "{id} is back at its address, cold for {} s",
@@ -217,15 +218,15 @@
     let mut sent = Vec::new();
     while begin.elapsed() < length {
         let id = format!("permit-{name}-{}", sent.len());
-        let request = http::request(
-            "POST",
-            &format!("/permit/{name}-{}", sent.len()),
-            &id,
-            3_000,
-        );
+        let path = format!("/permit/{id}");
+        let call = Call {
+            method: "POST",
+            path: &path,
+            id: &id,
+            limit_ms: 3_000,
+        };
         let at = Instant::now();
-        let seen = http::send(front, &request, Duration::from_secs(3));
-        record.line(format!("answer: {id}: {}", seen.describe()));
+        let seen = call.send(record, name, front, Duration::from_secs(3));
         sent.push((id, at, seen.status()));
         thread::sleep(PERIOD.saturating_sub(at.elapsed()));
     }
--- a/review/three/case_replaced.rs
+++ b/review/11/standin/case_replaced.rs
@@ -9,7 +9,7 @@
 use crate::Setup;
 use crate::dark::remove_machines;
 use crate::edge::{Edge, Machine};
-use crate::http;
+use crate::http::Call;
 use crate::replica::{Replica, Runs};
 use crate::store::Store;
 
@@ -137,11 +137,18 @@
     while begin.elapsed() < time {
         for edge in edges {
             let id = format!("{stage}-{sent}-{}", edge.name);
-            let request = http::request("GET", "/permit/2f", &id, 3_000);
-            let seen = http::send(edge.front, &request, Duration::from_secs(3));
-            setup
-                .record
-                .line(format!("answer: {id}: {}", seen.describe()));
+            let call = Call {
+                method: "GET",
+                path: "/permit/2f",
+                id: &id,
+                limit_ms: 3_000,
+            };
+            let seen = call.send(
+                &setup.record,
+                &edge.name,
+                edge.front,
+                Duration::from_secs(3),
+            );
             sent += 1;
             served += u32::from(seen.status() == 200);
         }
--- a/review/three/case_restore.rs
+++ b/review/11/standin/case_restore.rs
@@ -9,7 +9,7 @@
 
 use crate::Setup;
 use crate::edge::{Edge, Machine};
-use crate::http;
+use crate::http::Call;
 use crate::replica::{Replica, Runs};
 use crate::store::Store;
 
@@ -175,11 +175,18 @@
     let mut services = BTreeMap::new();
     for edge in edges {
         let id = format!("{stage}-{number}-{}", edge.name);
-        let request = http::request("GET", "/permit/2f", &id, 3_000);
-        let seen = http::send(edge.front, &request, Duration::from_secs(3));
-        setup
-            .record
-            .line(format!("answer: {id}: {}", seen.describe()));
+        let call = Call {
+            method: "GET",
+            path: "/permit/2f",
+            id: &id,
+            limit_ms: 3_000,
+        };
+        call.send(
+            &setup.record,
+            &edge.name,
+            edge.front,
+            Duration::from_secs(3),
+        );
         let runs = runs.lock().unwrap_or_else(PoisonError::into_inner);
         let ran = runs
             .iter()
--- a/review/three/main.rs
+++ b/review/11/standin/main.rs
@@ -1,6 +1,6 @@
 //! The cases of the third review that are scripts.
 //!
-//! `three CASE FOLDER` plays a case and writes `record.txt` into its folder. The working directory is
+//! `review-3 CASE FOLDER` plays a case and writes `record.txt` into its folder. The working directory is
 //! the root of the repository. With `TROUBLE=0` the disruption is left out. Exits with 1 if the rule
 //! was broken, with 0 if it held, and with 2 if the case couldn't run.
 
@@ -36,7 +36,7 @@
 fn main() -> ExitCode {
     let arguments: Vec<String> = env::args().collect();
     let [_, case, folder] = &arguments[..] else {
-        eprintln!("usage: three CASE FOLDER");
+        eprintln!("usage: review-3 CASE FOLDER");
         return ExitCode::from(2);
     };
     match play(case, Path::new(folder)) {
