--- a/crates/marigoldloom_catalog/src/catalog.rs
+++ b/crates/marigoldloom_catalog/src/catalog.rs
@@ -21,6 +21,10 @@
 /// about every 1.2 s, so that by then each one that has turned cold has said so.
 const RETURN_TIME: Duration = Duration::from_secs(3);
 
+/// Time from the platform's return from an older copy until records that are missing since count as
+/// removed. The operators write again what they wrote after the copy.
+const RESTORE_TIME: Duration = Duration::from_secs(10);
+
 /// Number of invalid records that a log line describes.
 const LOGGED_RECORDS: usize = 3;
 
@@ -48,6 +52,14 @@
     /// otherwise.
     returned: BTreeMap<Arc<str>, Timestamp>,
     moves: BTreeMap<Arc<str>, Order>,
+    /// Names under which orders go on that the platform has with another name since it came back from
+    /// an older copy, by service.
+    renamed: BTreeMap<Arc<str>, Renamed>,
+    /// Evacuations and moves that were known when the platform came back from an older copy, and that
+    /// it hasn't stated since.
+    unconfirmed: BTreeMap<(Kind, Arc<str>), Unconfirmed>,
+    /// Until when replica records may be those of an older copy of the platform.
+    restored_until: Timestamp,
     listed_kinds: BTreeSet<Kind>,
     /// Whether there is a view without the kinds that aren't essential and were never listed.
     essential_only: bool,
@@ -62,6 +74,24 @@
     expiry: Option<Timestamp>,
 }
 
+/// A record that the platform hasn't stated since it came back from an older copy.
+#[derive(Clone, Copy, Debug)]
+struct Unconfirmed {
+    /// Until when it is kept.
+    until: Timestamp,
+    /// Whether the copy lacks it.
+    is_missing: bool,
+}
+
+/// An order whose name follows from a revision that the platform has given out again.
+#[derive(Clone, Debug)]
+struct Renamed {
+    /// Name by the platform's records.
+    stated: Arc<str>,
+    /// Name under which the move goes on.
+    kept: Arc<str>,
+}
+
 /// When the platform last answered again after an outage; `None` if there was no outage.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct RecoveredAt(pub Option<Timestamp>);
@@ -85,11 +115,36 @@
             evacuated: BTreeSet::new(),
             returned: BTreeMap::new(),
             moves: BTreeMap::new(),
+            renamed: BTreeMap::new(),
+            unconfirmed: BTreeMap::new(),
+            restored_until: Timestamp::ZERO,
             listed_kinds: BTreeSet::new(),
             essential_only: false,
         }
     }
 
+    /// Prepares for records of `kind` from an older copy of the platform. Evacuations and moves that it
+    /// lacks stay in force for [`RESTORE_TIME`], unless they are stated and removed again meanwhile.
+    pub fn begin_era(&mut self, kind: Kind, now: Timestamp) {
+        let until = now + RESTORE_TIME;
+        let known: Vec<_> = match kind {
+            Kind::Configuration => Vec::new(),
+            Kind::Replicas => {
+                self.restored_until = until;
+                Vec::new()
+            }
+            Kind::Evacuations => self.evacuated.iter().cloned().collect(),
+            Kind::Moves => self.moves.keys().cloned().collect(),
+        };
+        for name in known {
+            let unconfirmed = Unconfirmed {
+                until,
+                is_missing: false,
+            };
+            self.unconfirmed.insert((kind, name), unconfirmed);
+        }
+    }
+
     /// Replaces all records of `kind` with those of `listing`; sets only these if it is partial.
     pub fn replace(
         &mut self,
@@ -141,6 +196,9 @@
         now: Timestamp,
         recovered_at: RecoveredAt,
     ) {
+        if self.is_kept(kind, &name, record.is_none()) {
+            return;
+        }
         match (kind, record) {
             (Kind::Replicas, Some(Record::Invalid(_))) => {
                 self.replicas.remove(&name);
@@ -160,10 +218,12 @@
                 }
             }
             (Kind::Moves, Some(Record::Move(order))) => {
+                let order = self.with_kept_name(order);
                 self.moves.insert(name, order);
             }
             (Kind::Moves, None) => {
                 self.moves.remove(&name);
+                self.renamed.remove(&name);
             }
             (Kind::Configuration, None) => {
                 tracing::warn!(
@@ -176,6 +236,45 @@
         }
     }
 
+    /// Returns whether a record stays in force that was removed by the platform's return from an older
+    /// copy.
+    fn is_kept(&mut self, kind: Kind, name: &Arc<str>, is_removed: bool) -> bool {
+        let key = (kind, Arc::clone(name));
+        if !is_removed {
+            self.unconfirmed.remove(&key);
+            return false;
+        }
+        let unconfirmed = self.unconfirmed.get_mut(&key);
+        unconfirmed.is_some_and(|unconfirmed| {
+            unconfirmed.is_missing = true;
+            true
+        })
+    }
+
+    /// Returns `order` under the name by which its move is known. The name follows from the revision at
+    /// which the order was written, which is another one if the operators wrote it again.
+    fn with_kept_name(&mut self, order: Order) -> Order {
+        let known = self.moves.get(&order.service);
+        let renamed = known.filter(|known| {
+            known.era < order.era && known.version == order.version && known.name != order.name
+        });
+        if let Some(known) = renamed {
+            let renamed = Renamed {
+                stated: Arc::clone(&order.name),
+                kept: Arc::clone(&known.name),
+            };
+            self.renamed.insert(Arc::clone(&order.service), renamed);
+        }
+        let renamed = self.renamed.get(&order.service);
+        match renamed.filter(|renamed| renamed.stated == order.name) {
+            Some(renamed) => Order {
+                name: Arc::clone(&renamed.kept),
+                ..order
+            },
+            None => order,
+        }
+    }
+
     /// Puts `new` in force unless the current configuration has the same or a later version: a
     /// response of the platform may be stale.
     fn set_configuration(&mut self, new: Configuration) {
@@ -202,14 +301,24 @@
         self.previous = self.current.replace(new);
     }
 
-    fn set_replica(&mut self, replica: Replica, now: Timestamp) {
+    fn set_replica(&mut self, mut replica: Replica, now: Timestamp) {
         let entry = self.replicas.get(&replica.id);
         let known = entry.map(|e| &e.replica);
-        // An unchanged record may be old, so its remaining warmup doesn't count from now.
-        let warm_at = match entry {
-            Some(entry) if entry.replica == replica => entry.warm_at,
-            _ => now + replica.warmup,
-        };
+        let mut warm_at = now + replica.warmup;
+        match entry {
+            // An unchanged record may be old, so its remaining warmup doesn't count from now.
+            Some(entry) if entry.replica == replica => warm_at = entry.warm_at,
+            // The record may be that of an older copy: the same process drains for good and may have
+            // turned cold since.
+            Some(entry) if entry.replica.born == replica.born && now < self.restored_until => {
+                replica.draining |= entry.replica.draining;
+                if entry.warm_at > warm_at {
+                    warm_at = entry.warm_at;
+                    replica.warmup = entry.replica.warmup;
+                }
+            }
+            _ => {}
+        }
         if known.is_none_or(|k| k.draining != replica.draining || k.address != replica.address) {
             tracing::info!(
                 upstream = %replica.id,
@@ -242,8 +351,9 @@
         }
     }
 
-    /// Removes replicas whose records did not reappear in time. Returns whether any was removed.
+    /// Removes records that did not reappear in time. Returns whether any was removed.
     pub fn remove_expired(&mut self, now: Timestamp) -> bool {
+        let restored = self.remove_unconfirmed(now);
         let before = self.replicas.len();
         self.replicas.retain(|name, entry| {
             let kept = entry.expiry.is_none_or(|end| end > now);
@@ -252,12 +362,37 @@
             }
             kept
         });
-        self.replicas.len() < before
+        restored || self.replicas.len() < before
+    }
+
+    /// Removes evacuations and moves that the platform hasn't stated again in time since its return from
+    /// an older copy. Returns whether any was removed.
+    fn remove_unconfirmed(&mut self, now: Timestamp) -> bool {
+        let due = |unconfirmed: &Unconfirmed| unconfirmed.until <= now;
+        let expired = self.unconfirmed.extract_if(.., |_, u| due(u));
+        let expired: Vec<_> = expired.collect();
+        let missing: Vec<_> = expired.iter().filter(|(_, u)| u.is_missing).collect();
+        for ((kind, name), _) in &missing {
+            self.apply(*kind, Arc::clone(name), None, now, RecoveredAt::default());
+        }
+        if !expired.is_empty() {
+            let names = missing.iter().take(LOGGED_RECORDS);
+            let names: Vec<_> = names
+                .map(|((kind, name), _)| format!("{kind}: {name}"))
+                .collect();
+            tracing::info!(
+                unchanged = expired.len() - missing.len(),
+                removed = missing.len(),
+                first = names.join("; "),
+                "records of the platform's earlier era that it hasn't stated again"
+            );
+        }
+        !missing.is_empty()
     }
 
-    /// Returns whether any replica is kept although its record was removed.
+    /// Returns whether any record is kept although it was removed.
     pub fn has_expiring(&self) -> bool {
-        self.replicas.values().any(|e| e.expiry.is_some())
+        !self.unconfirmed.is_empty() || self.replicas.values().any(|e| e.expiry.is_some())
     }
 
     /// Returns when a replica is warm; `None` if it was warm when it was first seen.
--- a/crates/marigoldloom_catalog/src/feed.rs
+++ b/crates/marigoldloom_catalog/src/feed.rs
@@ -15,6 +15,9 @@
 /// older revision learns of their removal.
 const TOMBSTONE_LIMIT: usize = 4_096;
 
+/// Number of earlier eras of the platform from which instances get only what has changed.
+const ERA_LIMIT: usize = 4;
+
 /// Revision up to which an instance knows each kind; kinds that it doesn't know are absent.
 pub type Revisions = BTreeMap<Kind, Revision>;
 
@@ -87,6 +90,8 @@
     oldest: Revision,
     /// Revision up to which all changes are known.
     newest: Revision,
+    /// Last known revisions of earlier eras. What followed them in their eras isn't known here.
+    ends: Vec<Revision>,
     /// Whether there may be records that were never listed.
     partial: bool,
 }
@@ -141,6 +146,23 @@
         state.is_live(now) && state.kinds.contains_key(&kind) && !state.failing.contains(&kind)
     }
 
+    /// Completes once records of a later era of the platform than `known` are known, at once if `known` is
+    /// `None` and there are any. Returns the latest era.
+    pub async fn until_later_era(&self, known: Option<u64>) -> u64 {
+        loop {
+            let changed = self.notifier.listen();
+            let latest = {
+                let state = self.state();
+                let eras = state.kinds.values().map(|records| records.newest.era);
+                eras.max()
+            };
+            if let Some(latest) = latest.filter(|latest| Some(*latest) > known) {
+                return latest;
+            }
+            changed.await;
+        }
+    }
+
     /// Sets when the platform last answered again after an outage.
     pub fn set_recovered(&self, at: Timestamp) {
         self.state().recovered_at = Some(at);
@@ -153,6 +175,7 @@
             records: BTreeMap::new(),
             oldest: listing.revision,
             newest: listing.revision,
+            ends: Vec::new(),
             partial: false,
         });
         records.replace(listing);
@@ -164,6 +187,7 @@
     pub fn change(&self, kind: Kind, changes: &Changes) {
         let mut state = self.state();
         if let Some(records) = state.kinds.get_mut(&kind) {
+            records.enter_era(changes.revision);
             for (name, record) in &changes.changes {
                 records.set(name, changes.revision, record.clone());
             }
@@ -229,12 +253,42 @@
 impl KindRecords {
     fn set(&mut self, name: &Arc<str>, revision: Revision, record: Option<Record>) {
         let known = self.records.get(name).map(|(_, record)| record);
-        if known != Some(&record) {
+        if known != Some(&record) && !self.is_outdated(name, record.as_ref()) {
             self.records.insert(Arc::clone(name), (revision, record));
         }
     }
 
+    /// Returns whether the record `name` is a configuration, and `record` is none or an older one: the
+    /// platform may have come back from an older copy.
+    fn is_outdated(&self, name: &str, record: Option<&Record>) -> bool {
+        match (self.get(name), record) {
+            (Some(Record::Configuration(held)), Some(Record::Configuration(new))) => {
+                new.version < held.version
+            }
+            (Some(Record::Configuration(_)), None) => true,
+            _ => false,
+        }
+    }
+
+    /// Prepares for changes up to `revision`, which may be of a later era than all before.
+    fn enter_era(&mut self, revision: Revision) {
+        if revision.era > self.newest.era {
+            self.ends.push(self.newest);
+            let excess = self.ends.len().saturating_sub(ERA_LIMIT);
+            self.ends.drain(..excess);
+        }
+    }
+
+    /// Returns whether an instance that knows the records up to `known` needs only what has changed
+    /// since.
+    fn has_changes_since(&self, known: Revision) -> bool {
+        let passed = |end: &Revision| end.era == known.era && known <= *end;
+        let passed = known.era >= self.newest.era || self.ends.iter().any(passed);
+        passed && known >= self.oldest
+    }
+
     fn replace(&mut self, listing: &Listing) {
+        self.enter_era(listing.revision);
         let listed: BTreeMap<_, _> = listing.records.iter().cloned().collect();
         self.partial = listing.partial;
         let unlisted = self.records.keys();
@@ -269,13 +323,17 @@
         match batch {
             Batch::Listing(listing) => {
                 let present = self.records.values().filter(|(_, r)| r.is_some());
-                let same = |(n, r): &(Arc<str>, Record)| self.get(n) == Some(r);
+                let same = |(n, r): &(Arc<str>, Record)| {
+                    self.get(n) == Some(r) || self.is_outdated(n, Some(r))
+                };
                 let complete = listing.partial || listing.records.len() == present.count();
                 complete && listing.records.iter().all(same)
             }
             Batch::Changes(changes) => {
                 let mut changes = changes.changes.iter();
-                changes.all(|(name, record)| self.get(name) == record.as_ref())
+                changes.all(|(name, record)| {
+                    self.get(name) == record.as_ref() || self.is_outdated(name, record.as_ref())
+                })
             }
         }
     }
@@ -283,7 +341,7 @@
     /// Returns the changes after `known`, or `None` if there are none.
     fn batch_since(&self, known: Option<Revision>) -> Option<Batch> {
         match known {
-            Some(known) if known >= self.oldest => {
+            Some(known) if self.has_changes_since(known) => {
                 let later = self.records.iter().filter(|(_, (at, _))| *at > known);
                 let changes = later.map(|(name, (_, record))| (Arc::clone(name), record.clone()));
                 let changes: Vec<_> = changes.collect();
--- a/crates/marigoldloom_catalog/src/fleet.rs
+++ b/crates/marigoldloom_catalog/src/fleet.rs
@@ -1,9 +1,11 @@
 //! Registration of the tier's instances, and the list of all registered ones.
 //!
 //! Limits of upstreams are divided by the number of instances. Each instance registers on the
-//! platform once and lists the registered instances periodically. Nothing removes an instance that
+//! platform and lists the registered instances periodically. Nothing removes an instance that
 //! no longer runs: a count that is too large keeps the sum over all instances within the limits,
-//! one that is too small would not.
+//! one that is too small would not. The platform may lose the latest registrations when it comes back
+//! from an older copy. Instances that it no longer lists still count for a while, in which they register
+//! again.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -13,6 +15,7 @@
 use marigoldloom_routing::home;
 use marigoldloom_runtime::runtime::{self, Runtime};
 use marigoldloom_runtime::supervisor;
+use marigoldloom_runtime::time::Timestamp;
 
 use crate::relay::Roster;
 use crate::source::{Error, Source};
@@ -30,6 +33,10 @@
 /// Time between two counts.
 const COUNT_PERIOD: Duration = Duration::from_secs(15);
 
+/// Time for which an instance counts that the platform no longer lists: some counts of its own and the
+/// time until its registration is seen by the others.
+const MISSING_TIME: Duration = Duration::from_secs(60);
+
 /// Instances with less than this fraction of the greatest capacity in their failure domain serve
 /// other instances only if no stronger instance is available.
 const MIN_CAPACITY_RATIO: f64 = 0.5;
@@ -93,11 +100,20 @@
         rt.sleep(FIRST_COUNT_DELAY).await;
     }
     let mut known = Vec::new();
+    let mut listed = Listed::default();
     let mut attempt = 0;
     loop {
         match source.members().await {
             Ok(members) => {
                 attempt = 0;
+                let is_own = |member: &Member| member.candidate.name == own.candidate.name;
+                if !members.iter().any(is_own) {
+                    tracing::warn!("the platform has lost the registration of this instance");
+                    if let Err(error) = source.register(own).await {
+                        back_off(rt, "registration", &error, &mut attempt).await;
+                    }
+                }
+                let members = listed.update(members, rt.now());
                 if members != known {
                     tracing::info!(instances = members.len(), "instances counted");
                     known.clone_from(&members);
@@ -111,6 +127,27 @@
     }
 }
 
+/// The instances that count, by name, and since when each one that counts is missing on the platform.
+#[derive(Debug, Default)]
+struct Listed(BTreeMap<Arc<str>, (Member, Option<Timestamp>)>);
+
+impl Listed {
+    /// Adds a list that was read at `now`. Returns the instances that count.
+    fn update(&mut self, members: Vec<Member>, now: Timestamp) -> Vec<Member> {
+        for (_, missing) in self.0.values_mut() {
+            missing.get_or_insert(now);
+        }
+        for member in members {
+            let name = Arc::clone(&member.candidate.name);
+            self.0.insert(name, (member, None));
+        }
+        let counts =
+            |missing: Option<Timestamp>| missing.is_none_or(|at| now.since(at) < MISSING_TIME);
+        self.0.retain(|_, (_, missing)| counts(*missing));
+        self.0.values().map(|(member, _)| member.clone()).collect()
+    }
+}
+
 /// Logs the failed call and waits before the next attempt.
 async fn back_off(rt: &impl Runtime, call: &str, error: &Error, attempt: &mut u32) {
     tracing::debug!(call, %error, "the platform doesn't answer");
--- a/crates/marigoldloom_catalog/src/follower.rs
+++ b/crates/marigoldloom_catalog/src/follower.rs
@@ -145,6 +145,7 @@
             catalog: Catalog::new(place),
             known: Revisions::new(),
             recovered_at: RecoveredAt::default(),
+            era: 0,
             down_since: None,
             last_update: Timestamp::ZERO,
             failures: BTreeMap::new(),
@@ -172,6 +173,8 @@
     /// Revision up to which each kind is known.
     known: Revisions,
     recovered_at: RecoveredAt,
+    /// Latest era of the platform whose start was logged.
+    era: u64,
     /// Start of the platform's current outage; `None` while it answers.
     down_since: Option<Timestamp>,
     /// When a poll of a peer last succeeded.
@@ -281,8 +284,8 @@
         }
     }
 
-    /// Completes once the platform stops answering, for all kinds or one, although the open watches
-    /// report no failure.
+    /// Completes once the platform stops answering, for all kinds or one, or answers in a later era,
+    /// although the open watches report no failure.
     async fn until_unanswered(&self) {
         loop {
             self.rt.sleep(CHECK_PERIOD).await;
@@ -290,6 +293,7 @@
                 continue;
             }
             match self.probe().await {
+                Ok(None) if self.has_later_era() => return,
                 Ok(None) => self.sources.feed.confirm(self.rt.now()),
                 Ok(Some((kind, error))) => {
                     self.state().failures.insert(kind, error);
@@ -300,6 +304,12 @@
         }
     }
 
+    /// Returns whether the platform is in a later era than some of the known records.
+    fn has_later_era(&self) -> bool {
+        let era = self.sources.platform.era();
+        self.state().known.values().any(|known| known.era < era)
+    }
+
     /// Checks whether the platform answers calls for kinds that don't fail. Returns a kind whose call
     /// failed although the platform answered one for another kind.
     async fn probe(&self) -> Result<Option<(Kind, Error)>, Error> {
@@ -495,7 +505,8 @@
             None => 0,
         };
         loop {
-            match self.sources.platform.list(kind).await {
+            let listing = self.sources.platform.list(kind).await;
+            match listing.and_then(|listing| self.check_era(kind, listing)) {
                 Ok(listing) => {
                     self.clear_failure(kind);
                     self.record_success();
@@ -511,6 +522,15 @@
         }
     }
 
+    /// Fails if the records of `kind` are known from a later era than that of `listing`.
+    fn check_era(&self, kind: Kind, listing: Listing) -> Result<Listing, Error> {
+        let era = listing.revision.era;
+        match self.state().known.get(&kind) {
+            Some(known) if known.era > era => Err(Error::OtherEra { era }),
+            _ => Ok(listing),
+        }
+    }
+
     /// Waits for the next changes of a kind. Returns `None` if the kind must be listed again: a
     /// watch that failed may have missed changes that a new watch from the same revision doesn't
     /// report at once.
@@ -520,7 +540,9 @@
             Ok(changes) => {
                 *attempt = 0;
                 self.record_success();
-                Some(changes)
+                let known = self.state().known.get(&kind).copied();
+                let is_latest = known.is_none_or(|known| known.era <= changes.revision.era);
+                is_latest.then_some(changes)
             }
             Err(Error::Compacted) => {
                 tracing::info!(%kind, "the platform forgot its history; listing again");
@@ -533,7 +555,35 @@
         }
     }
 
+    /// Prepares for records of `kind` if they are of a later era than the known ones.
+    fn enter_era(&self, kind: Kind, revision: Revision) {
+        let now = self.rt.now();
+        let mut state = self.state();
+        let Some(known) = state.known.get(&kind).copied() else {
+            state.era = state.era.max(revision.era);
+            return;
+        };
+        if revision.era <= known.era {
+            return;
+        }
+        self.sources.platform.note_era(revision.era);
+        if state.era < revision.era {
+            state.era = revision.era;
+            tracing::warn!(
+                %kind,
+                %revision,
+                %known,
+                "the platform came back from an older copy; what it lacks is kept for a while"
+            );
+        }
+        state.recovered_at = RecoveredAt(Some(now));
+        state.catalog.begin_era(kind, now);
+        drop(state);
+        self.sources.feed.set_recovered(now);
+    }
+
     fn replace(&self, kind: Kind, listing: Listing) {
+        self.enter_era(kind, listing.revision);
         self.sources.feed.replace(kind, &listing);
         self.update_state(|state, now| {
             let recovered_at = state.recovered_at;
@@ -544,6 +594,7 @@
     }
 
     fn change(&self, kind: Kind, changes: Changes) {
+        self.enter_era(kind, changes.revision);
         self.sources.feed.change(kind, &changes);
         self.update_state(|state, now| {
             let any = !changes.changes.is_empty();
--- a/crates/marigoldloom_catalog/src/source.rs
+++ b/crates/marigoldloom_catalog/src/source.rs
@@ -69,10 +69,19 @@
 }
 
 /// Position in the platform's sequence of changes; a later change has a greater revision.
+///
+/// When the platform comes back from an older copy, it gives out the numbers after that copy again, and
+/// its era rises.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-#[derive(Deserialize, Serialize)]
-#[serde(transparent)]
-pub struct Revision(pub u64);
+#[derive(Deserialize, Serialize, derive::Display)]
+#[serde(rename_all = "snake_case")]
+#[display("{era}.{number}")]
+pub struct Revision {
+    /// Era of the platform; 0 if it states none.
+    pub era: u64,
+    /// Number of the change within the era.
+    pub number: u64,
+}
 
 /// All records of a kind at one revision.
 #[derive(Clone, Debug, PartialEq)]
@@ -127,6 +136,12 @@
         /// The decoding error.
         reason: String,
     },
+    /// The response, or the revision that a write depends on, is of another era than the latest one.
+    #[display("era {era} of the platform isn't the latest one")]
+    OtherEra {
+        /// The era.
+        era: u64,
+    },
 }
 
 /// An entry of the instances' control state that is saved on the platform.
@@ -145,7 +160,7 @@
     fn list(&self, kind: Kind) -> impl Future<Output = Result<Listing, Error>> + Send;
 
     /// Waits for changes of a kind after `since`. Returns no changes when the platform's wait
-    /// limit passes without one.
+    /// limit passes without one. Fails with [`Error::Compacted`] if `since` isn't of the latest era.
     fn watch(
         &self,
         kind: Kind,
@@ -156,11 +171,18 @@
     /// the platform may keep them while it no longer answers this instance.
     fn check(&self) -> impl Future<Output = Result<(), Error>> + Send;
 
+    /// Returns the latest era of the platform that its answers or [`Source::note_era`] stated.
+    fn era(&self) -> u64;
+
+    /// Records an era of the platform that another instance knows. Answers to later calls are not of an
+    /// earlier one.
+    fn note_era(&self, era: u64);
+
     /// Registers the instance `own`, or updates its earlier registration.
     fn register(&self, own: &Member) -> impl Future<Output = Result<(), Error>> + Send;
 
     /// Writes the phase of a version move as the status of its order. Fails if the order's record
-    /// has another revision by now.
+    /// has another revision by now, or if the platform's era has changed since it was read.
     fn set_phase(
         &self,
         order: &Order,
--- a/crates/marigoldloom_catalog/tests/relay.rs
+++ b/crates/marigoldloom_catalog/tests/relay.rs
@@ -2,151 +2,23 @@
 
 mod support;
 
-use std::collections::{BTreeMap, BTreeSet};
-use std::sync::{Arc, Mutex};
+use std::collections::BTreeSet;
+use std::sync::Arc;
 use std::time::Duration;
 
-use marigoldloom_catalog::catalog::Place;
-use marigoldloom_catalog::feed::{Batch, Feed, Revisions, Update};
+use marigoldloom_catalog::feed::{Batch, Feed, Revisions};
 use marigoldloom_catalog::fleet::Member;
-use marigoldloom_catalog::follower::{self, LatestView, Sources};
 use marigoldloom_catalog::relay::{self, Role, Roster};
 use marigoldloom_catalog::source::{Changes, Kind, Listing, Record, Revision};
 use marigoldloom_runtime::runtime::Runtime;
 use marigoldloom_runtime::time::Timestamp;
-use marigoldloom_testkit::virtual_runtime::{self, VirtualRuntime};
+use marigoldloom_testkit::virtual_runtime;
+use support::fleet::{Fleet, NAMES};
 use support::{FakePlatform, Fault, configuration, in_force, member, replica};
 
 /// Time in which a new configuration must be in force on all instances.
 const CONFIGURATION_DEADLINE: Duration = Duration::from_secs(3);
 
-/// Names of the instances of one failure domain.
-const NAMES: [&str; 8] = ["a", "b", "c", "d", "e", "f", "g", "h"];
-
-/// Time after which all started instances have the platform's records.
-const SETTLE_TIME: Duration = Duration::from_secs(2);
-
-/// Connects the instances' feeds and counts polls.
-#[derive(Clone)]
-struct PeerNetwork {
-    rt: VirtualRuntime,
-    feeds: Arc<BTreeMap<Arc<str>, Arc<Feed>>>,
-    /// Instances that don't respond to polls.
-    unreachable: Arc<Mutex<BTreeSet<Arc<str>>>>,
-    /// Number of polls of each instance.
-    polls: Arc<Mutex<BTreeMap<Arc<str>, u32>>>,
-}
-
-impl relay::Peers for PeerNetwork {
-    async fn poll(
-        &self,
-        peer: &Member,
-        known: &Revisions,
-        wait: Duration,
-    ) -> Result<Update, relay::Error> {
-        self.rt.sleep(Duration::from_millis(1)).await;
-        let name = &peer.candidate.name;
-        *self
-            .polls
-            .lock()
-            .unwrap()
-            .entry(Arc::clone(name))
-            .or_default() += 1;
-        if self.unreachable.lock().unwrap().contains(name) {
-            return Err(relay::Error::Unreachable);
-        }
-        let update = self.feeds[name].poll(&self.rt, known, wait).await;
-        update.ok_or(relay::Error::Disconnected)
-    }
-}
-
-/// Running instances and the platform that they follow.
-struct Fleet {
-    rt: VirtualRuntime,
-    platform: FakePlatform,
-    network: PeerNetwork,
-    latest: BTreeMap<Arc<str>, LatestView>,
-    /// The process of each instance.
-    processes: BTreeMap<Arc<str>, VirtualRuntime>,
-    /// Instances that watch the platform while no instance fails.
-    watchers: Vec<Arc<str>>,
-}
-
-impl Fleet {
-    async fn start(rt: &VirtualRuntime, names: &[impl AsRef<str>]) -> Self {
-        Self::start_on(FakePlatform::new(rt.clone()), rt, names).await
-    }
-
-    async fn start_on(
-        platform: FakePlatform,
-        rt: &VirtualRuntime,
-        names: &[impl AsRef<str>],
-    ) -> Self {
-        platform.set(Kind::Configuration, "main", Some(configuration(3)));
-        for name in ["r1", "r2"] {
-            platform.set(Kind::Replicas, name, Some(replica(name, false)));
-        }
-        let feeds = names
-            .iter()
-            .map(|n| (Arc::from(n.as_ref()), Arc::default()));
-        let network = PeerNetwork {
-            rt: rt.clone(),
-            feeds: Arc::new(feeds.collect()),
-            unreachable: Arc::default(),
-            polls: Arc::default(),
-        };
-        let members: Vec<_> = names.iter().map(|n| member(n.as_ref())).collect();
-        let mut latest = BTreeMap::new();
-        let (mut watchers, mut processes) = (Vec::new(), BTreeMap::new());
-        for own in &members {
-            let name = &own.candidate.name;
-            let roster = Roster::new(own.candidate.clone());
-            roster.set_members(&members);
-            if roster.role(rt.now()) == Role::Watcher {
-                watchers.push(Arc::clone(name));
-            }
-            let sources = Sources {
-                platform: platform.for_instance(name),
-                peers: network.clone(),
-                roster: Arc::new(roster),
-                feed: Arc::clone(&network.feeds[name]),
-            };
-            let place = Place {
-                domain: Arc::from("north"),
-                regions: BTreeMap::new(),
-            };
-            let views = LatestView::default();
-            latest.insert(Arc::clone(name), views.clone());
-            let apply = move |view| views.set(Arc::new(view));
-            let process = rt.fork();
-            process.spawn(follower::follow(process.clone(), sources, place, apply));
-            processes.insert(Arc::clone(name), process);
-        }
-        rt.sleep(SETTLE_TIME).await;
-        Self {
-            rt: rt.clone(),
-            platform,
-            network,
-            latest,
-            processes,
-            watchers,
-        }
-    }
-
-    /// Returns the instances that don't have `version` or a later one in force.
-    fn behind(&self, version: u64) -> Vec<&str> {
-        let old = |latest: &LatestView| in_force(latest).is_none_or(|(known, _)| known < version);
-        let behind = self.latest.iter().filter(|(_, latest)| old(latest));
-        behind.map(|(name, _)| &**name).collect()
-    }
-
-    /// Returns the number of instances with an open watch.
-    fn watching(&self) -> usize {
-        let held = self.platform.with_state(|s| s.watches.clone());
-        held.values().filter(|count| **count > 0).count()
-    }
-}
-
 /// Whether the instance `own` of `names` watches the platform while no instance fails.
 fn is_watcher(own: &str, names: &[&str]) -> bool {
     let roster = Roster::new(member(own).candidate);
@@ -526,11 +398,15 @@
     });
 }
 
-fn listing(revision: u64, names: &[&str]) -> Listing {
+fn revision(number: u64) -> Revision {
+    Revision { era: 0, number }
+}
+
+fn listing(number: u64, names: &[&str]) -> Listing {
     let records = names.iter().map(|n| (Arc::from(*n), replica(n, false)));
     Listing {
         records: records.collect(),
-        revision: Revision(revision),
+        revision: revision(number),
         partial: false,
     }
 }
@@ -543,7 +419,7 @@
         feed.set_connected(rt.now());
         feed.replace(Kind::Replicas, &listing(5, &["r1", "r2", "r3"]));
         feed.replace(Kind::Replicas, &listing(9, &["r1", "r3"]));
-        let known = |revision| Revisions::from([(Kind::Replicas, Revision(revision))]);
+        let known = |number| Revisions::from([(Kind::Replicas, revision(number))]);
         let poll = |known| {
             let (rt, feed) = (rt.clone(), &feed);
             async move {
@@ -553,7 +429,7 @@
         };
         let removed = Changes {
             changes: vec![(Arc::from("r2"), None)],
-            revision: Revision(9),
+            revision: revision(9),
         };
         assert_eq!(poll(known(5)).await, Some(Batch::Changes(removed)));
         assert_eq!(poll(known(9)).await, None);
--- a/crates/marigoldloom_catalog/tests/support/mod.rs
+++ b/crates/marigoldloom_catalog/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -20,6 +21,8 @@
 use marigoldloom_runtime::runtime::Runtime;
 use marigoldloom_testkit::virtual_runtime::VirtualRuntime;
 
+pub(crate) mod fleet;
+
 /// How long the fake platform holds a watch without changes.
 const WATCH_LIMIT: Duration = Duration::from_secs(10);
 
@@ -36,9 +39,19 @@
 pub(crate) struct FakePlatform {
     rt: VirtualRuntime,
     name: Arc<str>,
+    /// Latest era that the instance knows.
+    era: Arc<AtomicU64>,
     state: Arc<Mutex<State>>,
 }
 
+/// A copy of the platform's records.
+#[derive(Clone)]
+pub(crate) struct Copied {
+    revision: u64,
+    records: BTreeMap<(Kind, Arc<str>), Record>,
+    registered: BTreeSet<String>,
+}
+
 /// How calls for one kind of records fail.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Fault {
@@ -73,6 +86,8 @@
     /// Each increment stalls the watches of the instance that are open at the time.
     pub(crate) stalled: BTreeMap<Arc<str>, u32>,
     pub(crate) registered: BTreeSet<String>,
+    /// Number of times that the platform has come back from an older copy.
+    pub(crate) era: u64,
     revision: u64,
     records: BTreeMap<(Kind, Arc<str>), Record>,
     log: VecDeque<(u64, Kind, Change)>,
@@ -83,6 +98,7 @@
         Self {
             rt,
             name: Arc::from("a"),
+            era: Arc::default(),
             state: Arc::default(),
         }
     }
@@ -91,10 +107,33 @@
     pub(crate) fn for_instance(&self, name: &str) -> Self {
         Self {
             name: Arc::from(name),
+            era: Arc::default(),
             ..self.clone()
         }
     }
 
+    /// Returns a copy of the records.
+    pub(crate) fn copy(&self) -> Copied {
+        self.with_state(|state| Copied {
+            revision: state.revision,
+            records: state.records.clone(),
+            registered: state.registered.clone(),
+        })
+    }
+
+    /// Comes back from an older copy.
+    pub(crate) fn restore(&self, copy: Copied) {
+        self.with_state(|state| {
+            state.era += 1;
+            state.revision = copy.revision;
+            state.records = copy.records;
+            state.registered = copy.registered;
+            state
+                .log
+                .retain(|(revision, ..)| *revision <= copy.revision);
+        });
+    }
+
     /// Returns the result of `answer`, fails if the platform is unavailable, or never returns if
     /// this instance gets no response.
     async fn answer<T>(&self, answer: impl FnOnce(&mut State) -> T) -> Result<T, Error> {
@@ -104,7 +143,10 @@
         }
         self.with_state(|state| match state.unavailable {
             true => Err(Self::unreachable()),
-            false => Ok(answer(state)),
+            false => {
+                self.era.fetch_max(state.era, Ordering::Relaxed);
+                Ok(answer(state))
+            }
         })
     }
 
@@ -161,7 +203,7 @@
             let records = records.take(limit);
             Listing {
                 records: records.map(|((_, n), r)| (n.clone(), r.clone())).collect(),
-                revision: Revision(state.revision),
+                revision: state.revision(),
                 partial: state.partial,
             }
         };
@@ -174,6 +216,14 @@
         self.answer(|_| ()).await
     }
 
+    fn era(&self) -> u64 {
+        self.era.load(Ordering::Relaxed)
+    }
+
+    fn note_era(&self, era: u64) {
+        self.era.fetch_max(era, Ordering::Relaxed);
+    }
+
     async fn register(&self, own: &Member) -> Result<(), Error> {
         self.with_state(|state| {
             state.registered.insert(own.candidate.name.to_string());
@@ -224,12 +274,16 @@
                 if state.unavailable || state.watch_failures > failures {
                     return Some(Err(Self::unreachable()));
                 }
+                self.era.fetch_max(state.era, Ordering::Relaxed);
+                if state.era != since.era {
+                    return Some(Err(Error::Compacted));
+                }
                 let new = state
                     .log
                     .iter()
-                    .filter(|(r, k, _)| *r > since.0 && *k == kind);
+                    .filter(|(r, k, _)| *r > since.number && *k == kind);
                 let changes: Vec<_> = new.map(|(_, _, change)| change.clone()).collect();
-                let revision = Revision(state.revision);
+                let revision = state.revision();
                 let due = !changes.is_empty() && !state.changes_withheld || self.rt.now() >= end;
                 due.then_some(Ok(Changes { changes, revision }))
             });
@@ -240,6 +294,15 @@
     }
 }
 
+impl State {
+    fn revision(&self) -> Revision {
+        Revision {
+            era: self.era,
+            number: self.revision,
+        }
+    }
+}
+
 pub(crate) fn configuration(version: u64) -> Record {
     let route = Route {
         name: Arc::from("search"),
--- a/crates/marigoldloom_front/src/calls.rs
+++ b/crates/marigoldloom_front/src/calls.rs
@@ -1,5 +1,8 @@
 //! Counts the calls of an instance to the platform, which limits their rate.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
 use marigoldloom_catalog::fleet::Member;
 use marigoldloom_catalog::source::{Changes, Error, Kind, Listing, Revision, SavedEntry, Source};
 use marigoldloom_records::version_move::{Order, Phase};
@@ -10,6 +13,8 @@
 pub(crate) struct CountedSource<S> {
     pub(crate) source: S,
     pub(crate) metrics: Metrics,
+    /// Latest era whose start was counted.
+    pub(crate) counted_era: Arc<AtomicU64>,
 }
 
 impl<S> CountedSource<S> {
@@ -61,6 +66,17 @@
         self.count("check", self.source.check()).await
     }
 
+    fn era(&self) -> u64 {
+        self.source.era()
+    }
+
+    fn note_era(&self, era: u64) {
+        if self.counted_era.fetch_max(era, Ordering::Relaxed) < era {
+            self.metrics.record_platform_return();
+        }
+        self.source.note_era(era);
+    }
+
     async fn register(&self, own: &Member) -> Result<(), Error> {
         self.count("register", self.source.register(own)).await
     }
--- a/crates/marigoldloom_front/src/instance.rs
+++ b/crates/marigoldloom_front/src/instance.rs
@@ -162,6 +162,7 @@
     let source = CountedSource {
         source,
         metrics: metrics.clone(),
+        counted_era: Arc::default(),
     };
     let client = Client::new(
         rt,
@@ -187,7 +188,6 @@
     };
     let engine = Engine::new(rt, client.clone(), hooks, engine_settings(&settings));
     rt.spawn(share_strikes(exchange.clone(), engine.clone()));
-    rt.spawn(strikes::save(rt, source.clone(), queue));
     let own = member(&settings);
     let roster = Arc::new(Roster::new(own.candidate.clone()));
     let restored = strikes::restore(rt, source.clone(), exchange.clone(), Arc::clone(&roster));
@@ -206,6 +206,7 @@
         feed: Arc::default(),
     });
     let feed = Arc::clone(&sharing.feed);
+    rt.spawn(strikes::save(rt, source.clone(), queue, Arc::clone(&feed)));
     follow(rt, source.clone(), own, roster, &settings.place, &sharing);
     let latest = sharing.latest.clone();
     rt.spawn(moves::run(rt, source, moves, latest, Arc::clone(&feed)));
--- a/crates/marigoldloom_front/src/records.rs
+++ b/crates/marigoldloom_front/src/records.rs
@@ -16,7 +16,7 @@
 use crate::peer_client::{self, PeerClient};
 
 /// Path of a request for records.
-pub(crate) const PATH: &str = "/marigoldloom/records/2";
+pub(crate) const PATH: &str = "/marigoldloom/records/3";
 
 /// Largest request body in bytes.
 const REQUEST_LIMIT: usize = 4 * 1024;
--- a/crates/marigoldloom_front/src/strikes.rs
+++ b/crates/marigoldloom_front/src/strikes.rs
@@ -3,10 +3,13 @@
 //! Each process publishes its own strikes to the other instances. Once a request is refused, its
 //! strikes are also saved on the platform, so that they outlive all instances.
 
+use std::collections::BTreeMap;
+use std::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures::future;
+use futures::future::{self, Either};
+use marigoldloom_catalog::feed::Feed;
 use marigoldloom_catalog::relay::{Role, Roster};
 use marigoldloom_catalog::source::{SavedEntry, Source};
 use marigoldloom_limits::fingerprint::{self, Fingerprint, Silence, Strikes};
@@ -40,6 +43,12 @@
 /// them: all instances may have started at the same time.
 const WATCHER_LEAD: Duration = Duration::from_millis(700);
 
+/// Longest random delay before strikes are saved again that the platform has lost.
+const RESAVE_SPREAD: Duration = Duration::from_secs(2);
+
+/// Number of refused requests whose strikes are saved again. The platform loses those of the last seconds.
+const MAX_RESAVED: usize = 256;
+
 /// Number of refused requests whose strikes may wait to be saved.
 pub(crate) const SAVE_QUEUE: usize = 64;
 
@@ -136,35 +145,96 @@
     future::join_all(pulls).await.contains(&true)
 }
 
-/// Saves the entries of `queue`. Runs until the queue is closed.
+/// Saves the entries of `queue`, and again those that the platform lacks after its return from an older
+/// copy. Runs until the queue is closed.
 pub(crate) async fn save<R: Runtime, S: Source>(
     rt: R,
     source: S,
     queue: async_channel::Receiver<Entry>,
+    feed: Arc<Feed>,
 ) {
-    while let Ok(entry) = queue.recv().await {
-        let Ok(content) = serde_json::to_string(&entry) else {
-            continue;
-        };
-        // The writer is the same for all saved strikes.
-        let name = entry.name.split('/').next().unwrap_or_default();
-        let mut attempt = 0;
-        while let Err(error) = source.save_entry(name, &content).await {
-            tracing::warn!(name, %error, "strikes can't be saved on the platform");
-            back_off(&rt, &mut attempt).await;
+    let mut saved = BTreeMap::new();
+    let mut era = None;
+    loop {
+        let later_era = pin::pin!(feed.until_later_era(era));
+        match future::select(pin::pin!(queue.recv()), later_era).await {
+            Either::Left((Ok(entry), _)) => {
+                save_entry(&rt, &source, &entry).await;
+                remember(&rt, &mut saved, entry);
+            }
+            Either::Left((Err(_), _)) => return,
+            Either::Right((later, _)) => {
+                if era.replace(later).is_some() && !saved.is_empty() {
+                    save_again(&rt, &source, &saved).await;
+                }
+            }
         }
-        tracing::info!(name, "strikes saved on the platform");
     }
 }
 
-async fn restore_once<R: Runtime>(rt: &R, source: &impl Source, exchange: &PeerExchange<R>) {
+/// Adds a saved entry to `saved`, without those that have expired and the earliest over the limit.
+fn remember(rt: &impl Runtime, saved: &mut BTreeMap<Arc<str>, Entry>, entry: Entry) {
+    saved.insert(Arc::clone(&entry.name), entry);
+    let now = rt.wall();
+    saved.retain(|_, entry| entry.expires.is_some_and(|at| at > now));
+    while saved.len() > MAX_RESAVED
+        && let Some((name, _)) = saved.iter().min_by_key(|(_, entry)| entry.stamp)
+    {
+        let name = Arc::clone(name);
+        saved.remove(&name);
+    }
+}
+
+/// Saves the entries of `saved` of which the platform has none or an earlier one.
+async fn save_again(rt: &impl Runtime, source: &impl Source, saved: &BTreeMap<Arc<str>, Entry>) {
+    rt.sleep(runtime::backoff(rt, 0, RESAVE_SPREAD, RESAVE_SPREAD))
+        .await;
+    let held = read_saved(rt, source).await;
+    let held = held.into_iter();
+    let held = held.filter_map(|held| serde_json::from_str::<Entry>(&held.content).ok());
+    let held: BTreeMap<_, _> = held.map(|entry| (entry.name, entry.stamp)).collect();
+    let lost = |entry: &&Entry| {
+        held.get(&entry.name)
+            .is_none_or(|stamp| *stamp < entry.stamp)
+    };
+    let lost: Vec<_> = saved.values().filter(lost).collect();
+    tracing::info!(
+        known = saved.len(),
+        lost = lost.len(),
+        "the platform came back from an older copy; lost strikes are saved again"
+    );
+    for entry in lost {
+        save_entry(rt, source, entry).await;
+    }
+}
+
+async fn save_entry(rt: &impl Runtime, source: &impl Source, entry: &Entry) {
+    let Ok(content) = serde_json::to_string(entry) else {
+        return;
+    };
+    // The writer is the same for all saved strikes.
+    let name = entry.name.split('/').next().unwrap_or_default();
+    let mut attempt = 0;
+    while let Err(error) = source.save_entry(name, &content).await {
+        tracing::warn!(name, %error, "strikes can't be saved on the platform");
+        back_off(rt, &mut attempt).await;
+    }
+    tracing::info!(name, "strikes saved on the platform");
+}
+
+/// Reads the saved entries, and retries until the call succeeds.
+async fn read_saved(rt: &impl Runtime, source: &impl Source) -> Vec<SavedEntry> {
     let mut attempt = 0;
-    let saved = loop {
+    loop {
         match source.saved_entries().await {
-            Ok(saved) => break saved,
+            Ok(saved) => return saved,
             Err(_) => back_off(rt, &mut attempt).await,
         }
-    };
+    }
+}
+
+async fn restore_once<R: Runtime>(rt: &R, source: &impl Source, exchange: &PeerExchange<R>) {
+    let saved = read_saved(rt, source).await;
     let mut restored = 0;
     for SavedEntry { name, content } in saved {
         let entry = serde_json::from_str::<Entry>(&content).ok();
--- a/crates/marigoldloom_moves/tests/window.rs
+++ b/crates/marigoldloom_moves/tests/window.rs
@@ -129,6 +129,7 @@
         window: WINDOW,
         phase,
         revision: 1,
+        era: 0,
     }
 }
 
@@ -425,3 +426,52 @@
         assert_eq!(sums.phase, Some(Phase::Done), "{case:?}: {sums:?}");
     }
 }
+
+/// Guards against a final phase that is forgotten, or replaced by another one, because the platform came
+/// back from an older copy.
+#[test]
+fn final_phase_that_the_platform_has_lost_is_written_again() {
+    struct Case {
+        known: Phase,
+        /// What the platform states after its return.
+        stated: Option<Phase>,
+        expected: Option<Phase>,
+    }
+    let case = |known, stated, expected| Case {
+        known,
+        stated,
+        expected,
+    };
+    let cases = [
+        case(Phase::Done, None, Some(Phase::Done)),
+        case(Phase::Done, Some(Phase::Running), Some(Phase::Done)),
+        case(Phase::TakenBack, None, Some(Phase::TakenBack)),
+        case(
+            Phase::TakenBack,
+            Some(Phase::Running),
+            Some(Phase::TakenBack),
+        ),
+        case(Phase::TakenBack, Some(Phase::Done), None),
+        case(Phase::Done, Some(Phase::TakenBack), None),
+    ];
+    for (number, case) in cases.into_iter().enumerate() {
+        virtual_runtime::block_on(1, move |rt| async move {
+            let partition = Partition {
+                rt: rt.clone(),
+                map: Arc::default(),
+            };
+            let instances = start(&rt, &[partition], 1, 0);
+            let moves = &instances[0];
+            rt.sleep(Duration::from_secs(3)).await;
+            assert_eq!(moves.tick(&[order(Some(case.known))], true), []);
+            let restored = Order {
+                era: 1,
+                ..order(case.stated)
+            };
+            let due = moves.tick(&[restored], true);
+            let due: Vec<_> = due.iter().map(|order| (order.phase, order.era)).collect();
+            let expected = case.expected.map(|phase| (Some(phase), 1));
+            assert_eq!(due, Vec::from_iter(expected), "case {number}");
+        });
+    }
+}
--- a/crates/marigoldloom_records/src/version_move.rs
+++ b/crates/marigoldloom_records/src/version_move.rs
@@ -57,6 +57,8 @@
     /// Revision of the record. A phase is written only if the record still has it, so that no
     /// instance overwrites a final phase that it doesn't know.
     pub revision: u64,
+    /// Era of the platform that the revision belongs to.
+    pub era: u64,
 }
 
 /// Whether the operator wants a move to proceed or to be taken back.
--- a/crates/marigoldloom_soak/src/deployment.rs
+++ b/crates/marigoldloom_soak/src/deployment.rs
@@ -147,6 +147,7 @@
         let history = History::default();
         let store = Store::new();
         store.set_page_size(PAGE_SIZE);
+        store.set_era(1);
         let (server, address) = store.serve().await?;
         let replicas = Replicas::start(&history, &store).await?;
         let mut members = Vec::new();
--- a/crates/marigoldloom_soak/src/plan.rs
+++ b/crates/marigoldloom_soak/src/plan.rs
@@ -54,6 +54,12 @@
 /// Distinguishes the generator of what replicas say and of odd store entries from the others.
 const NOTICE_SEED: u64 = 0x0ddb_a11d;
 
+/// Distinguishes the generator of the store's returns from older copies from the others.
+const RETURN_SEED: u64 = 0x0c0b_1e5e;
+
+/// Probability that a plan contains a return of the store, and that it contains another one soon after.
+const RETURN_PROBABILITY: f64 = 0.5;
+
 /// Probability that a plan contains a step of [`draw_notices`] other than the first one.
 const NOTICE_PROBABILITY: f64 = 0.6;
 
@@ -203,6 +209,17 @@
     },
     /// The store drops its event history, so that watches must list again.
     Forget,
+    /// The store is away and comes back from an older copy.
+    Restore {
+        /// Milliseconds for which it is away.
+        away_ms: u64,
+        /// Age of the copy in milliseconds when the store goes away.
+        age_ms: u64,
+        /// Milliseconds from the return until what others than instances wrote is written again.
+        again_ms: u64,
+        /// Whether all instances are killed when it goes away.
+        kill: bool,
+    },
     /// Replicas crash and are restarted.
     Crash {
         /// The replicas.
@@ -386,6 +403,7 @@
     fault_steps.extend(draw_notices(seed, last, sizes));
     let (hang_ups, start_steps) = starts::draw(seed, last, sizes);
     fault_steps.extend(start_steps);
+    fault_steps.extend(draw_returns(seed, last));
     fault_steps.sort_by_key(|s| s.at_ms);
     let mut maintenance_steps = draw_maintenance(&mut rng, sizes);
     maintenance_steps.extend(draw_cold_return(seed, &maintenance_steps));
@@ -464,6 +482,25 @@
         .chain(cold_return.into_iter().flatten())
 }
 
+/// Draws returns of the store from an older copy, with a generator of their own, so that the other steps of
+/// a seed stay the same.
+fn draw_returns(seed: u64, last: u64) -> Vec<TimedStep> {
+    let mut rng = StdRng::seed_from_u64(seed ^ RETURN_SEED);
+    let mut steps = Vec::new();
+    let mut at_ms = rng.random_range(0..last / 2);
+    while rng.random_bool(RETURN_PROBABILITY) && at_ms < last {
+        let step = Step::Restore {
+            away_ms: rng.random_range(200..3_000),
+            age_ms: rng.random_range(1_000..10_000),
+            again_ms: rng.random_range(0..1_500),
+            kill: rng.random_ratio(1, 4),
+        };
+        steps.push(TimedStep { at_ms, step });
+        at_ms += rng.random_range(4_000..10_000);
+    }
+    steps
+}
+
 /// The replicas of a domain whose evacuation ends at `end` become cold shortly before.
 fn draw_chill(rng: &mut impl Rng, domain: usize, end: u64) -> TimedStep {
     TimedStep {
--- a/crates/marigoldloom_soak/src/steps.rs
+++ b/crates/marigoldloom_soak/src/steps.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use async_std::task;
+use futures::FutureExt;
 use futures::future;
 use marigoldloom_standin::users::documents::{EVACUATIONS, REPLICAS, ROLLOUTS};
 use marigoldloom_standin::users::store::Mode;
@@ -92,6 +93,23 @@
             deployment.history.end_disruption(disruption);
             Ok(())
         }
+        Step::Restore {
+            away_ms,
+            age_ms,
+            again_ms,
+            kill,
+        } => {
+            let [away, age, again] = [away_ms, age_ms, again_ms].map(Duration::from_millis);
+            let restored = restore_store(deployment, away, age, again);
+            match kill {
+                true => {
+                    let all = (0..deployment.members.len()).map(|i| kill_briefly(deployment, i));
+                    future::try_join(future::try_join_all(all), restored.map(Ok)).await?;
+                }
+                false => restored.await,
+            }
+            Ok(())
+        }
         Step::Crash { replicas, down_ms } => {
             let down = Duration::from_millis(down_ms);
             let crashes = replicas
@@ -284,6 +302,11 @@
     start(deployment, instance, disruption).await
 }
 
+/// Kills an instance and starts it again at once.
+async fn kill_briefly(deployment: &Deployment, instance: usize) -> io::Result<()> {
+    kill(deployment, instance, RESTART_DELAY).await
+}
+
 /// Starts an instance, waits until it is ready and ends its disruption.
 async fn start(deployment: &Deployment, instance: usize, disruption: usize) -> io::Result<()> {
     deployment.members[instance].instance().start()?;
@@ -434,6 +457,19 @@
     deployment.history.end_disruption(disruption);
 }
 
+/// Takes the store away and lets it come back from a copy. What others than instances wrote since is
+/// written again after `again`.
+async fn restore_store(deployment: &Deployment, away: Duration, age: Duration, again: Duration) {
+    let disruption = deployment.history.begin_disruption(Scope::Store);
+    deployment.store.set_mode(Mode::Disconnect);
+    task::sleep(away).await;
+    let lost = deployment.store.restore(age + away);
+    deployment.store.set_mode(Mode::Normal);
+    task::sleep(again).await;
+    deployment.store.write_again(lost);
+    deployment.history.end_disruption(disruption);
+}
+
 async fn evacuate_domain(deployment: &Deployment, domain: usize, time_ms: u64) {
     deployment.evacuate_domain(domain);
     let drain = deployment.history.begin_drain(DrainTarget::Domain(domain));
--- a/crates/marigoldloom_standin/src/users/store.rs
+++ b/crates/marigoldloom_standin/src/users/store.rs
@@ -1,6 +1,6 @@
 //! An object store with lists and watches. An object has a kind and a name.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -21,6 +21,9 @@
 /// Interval at which a waiting watch checks for changes.
 const WATCH_POLL: Duration = Duration::from_millis(2);
 
+/// Time for which changes can be undone by [`Store::restore`].
+const UNDO_TIME: Duration = Duration::from_secs(60);
+
 /// How the store responds to calls.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Mode {
@@ -70,6 +73,27 @@
     FieldsLast,
 }
 
+/// Kind and name of an object.
+type Key = (String, String);
+
+/// Who changes an object.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Writer {
+    /// The operators or a replica, who write again what the store has lost.
+    Outside,
+    /// An instance, by a call.
+    Call,
+}
+
+/// A change that can be undone.
+struct Undo {
+    at: Instant,
+    writer: Writer,
+    key: Key,
+    old: Option<Value>,
+    revision: u64,
+}
+
 struct State {
     mode: Mode,
     layout: Layout,
@@ -77,8 +101,14 @@
     faults: BTreeMap<String, Fault>,
     paging: Paging,
     page_size: usize,
+    /// Number of times that the store has come back from an older copy, if it states that.
+    era: Option<u64>,
     revision: u64,
-    objects: BTreeMap<(String, String), Value>,
+    objects: BTreeMap<Key, Value>,
+    /// Latest changes, the latest last.
+    undos: Vec<Undo>,
+    /// Objects that were written from outside since the store last came back from a copy.
+    rewritten: BTreeSet<Key>,
     /// Maps an address to the one that readers get in its place.
     redirects: BTreeMap<String, String>,
     /// Bytes that stand in responses in place of a string, for content that `Value` can't hold.
@@ -99,8 +129,11 @@
             faults: BTreeMap::new(),
             paging: Paging::default(),
             page_size: PAGE_SIZE,
+            era: None,
             revision: 0,
             objects: BTreeMap::new(),
+            undos: Vec::new(),
+            rewritten: BTreeSet::new(),
             redirects: BTreeMap::new(),
             raw: BTreeMap::new(),
             events: Vec::new(),
@@ -142,6 +175,10 @@
 
     /// Creates or replaces an object.
     pub fn put(&self, kind: &str, name: &str, spec: Value) {
+        self.write(kind, name, spec, Writer::Outside);
+    }
+
+    fn write(&self, kind: &str, name: &str, spec: Value, writer: Writer) {
         let mut state = self.state();
         state.revision += 1;
         let key = (kind.to_owned(), name.to_owned());
@@ -154,8 +191,7 @@
             "spec": spec,
             "status": status,
         });
-        state.objects.insert(key, object.clone());
-        state.record(kind, false, object);
+        state.set(key, Some(object), writer);
     }
 
     /// Creates or replaces an object whose content is `bytes`, which needn't be valid JSON or UTF-8.
@@ -173,17 +209,62 @@
         state.revision += 1;
         let object = Value::String(mark);
         let key = (kind.to_owned(), name.to_owned());
-        state.objects.insert(key, object.clone());
-        state.record(kind, false, object);
+        state.set(key, Some(object), Writer::Outside);
     }
 
     /// Removes an object.
     pub fn remove(&self, kind: &str, name: &str) {
         let mut state = self.state();
         let key = (kind.to_owned(), name.to_owned());
-        if let Some(object) = state.objects.remove(&key) {
+        if state.objects.contains_key(&key) {
             state.revision += 1;
-            state.record(kind, true, object);
+            state.set(key, None, Writer::Outside);
+        }
+    }
+
+    /// States an era in all responses, which rises with each [`Store::restore`].
+    pub fn set_era(&self, era: u64) {
+        self.state().era = Some(era);
+    }
+
+    /// Comes back from a copy that is as old as `age`: later changes are undone, and their revisions are
+    /// given out again. Returns the objects that were written from outside meanwhile, with their contents.
+    pub fn restore(&self, age: Duration) -> Vec<Lost> {
+        let mut state = self.state();
+        let mut lost = BTreeMap::new();
+        while let Some(undo) = state.undos.pop_if(|undo| undo.at.elapsed() <= age) {
+            if undo.writer == Writer::Outside {
+                let current = state.objects.get(&undo.key);
+                let spec = current.map(|object| object["spec"].clone());
+                lost.entry(undo.key.clone()).or_insert(spec);
+            }
+            match undo.old {
+                Some(old) => state.objects.insert(undo.key, old),
+                None => state.objects.remove(&undo.key),
+            };
+            state.revision = undo.revision;
+        }
+        let revision = state.revision;
+        state.events.retain(|event| event.revision <= revision);
+        state.compacted = state.compacted.min(revision);
+        state.era = Some(state.era.unwrap_or_default() + 1);
+        state.rewritten.clear();
+        lost.into_iter()
+            .map(|(key, spec)| Lost { key, spec })
+            .collect()
+    }
+
+    /// Writes again what the store lost, unless it was written meanwhile.
+    pub fn write_again(&self, lost: Vec<Lost>) {
+        for Lost { key, spec } in lost {
+            if self.state().rewritten.contains(&key) {
+                continue;
+            }
+            let (kind, name) = &key;
+            match spec {
+                Some(spec) => self.put(kind, name, spec),
+                None => self.remove(kind, name),
+            }
         }
     }
 
@@ -239,7 +320,7 @@
         if self.state().objects.contains_key(&key) {
             return Response::new(StatusCode::Conflict);
         }
-        self.put(kind, name, body["spec"].clone());
+        self.write(kind, name, body["spec"].clone(), Writer::Call);
         Response::new(StatusCode::Created)
     }
 
@@ -252,7 +333,7 @@
         if !self.state().objects.contains_key(&key) {
             return Response::new(StatusCode::NotFound);
         }
-        self.put(kind, name, body["spec"].clone());
+        self.write(kind, name, body["spec"].clone(), Writer::Call);
         Response::new(StatusCode::Ok)
     }
 
@@ -272,8 +353,7 @@
             state.revision += 1;
             object["meta"]["Revision"] = json!(state.revision);
             object["status"] = body["status"].clone();
-            state.objects.insert(key, object.clone());
-            state.record(kind, false, object);
+            state.set(key, Some(object), Writer::Call);
         }
         Response::new(StatusCode::Ok)
     }
@@ -315,13 +395,40 @@
     }
 }
 
+/// An object that was written from outside and that the store lost.
+pub struct Lost {
+    key: Key,
+    /// Its content; `None` if it was removed.
+    spec: Option<Value>,
+}
+
 impl State {
-    fn record(&mut self, kind: &str, removed: bool, object: Value) {
+    /// Sets or removes an object at the current revision, which is one more than that of the last change.
+    fn set(&mut self, key: Key, object: Option<Value>, writer: Writer) {
+        if writer == Writer::Outside {
+            self.rewritten.insert(key.clone());
+        }
+        let old = match &object {
+            Some(object) => self.objects.insert(key.clone(), object.clone()),
+            None => self.objects.remove(&key),
+        };
+        let (removed, shown) = match object {
+            Some(object) => (false, object),
+            None => (true, old.clone().unwrap_or_default()),
+        };
         self.events.push(Event {
             revision: self.revision,
-            kind: kind.to_owned(),
+            kind: key.0.clone(),
             removed,
-            object,
+            object: shown,
+        });
+        self.undos.retain(|undo| undo.at.elapsed() <= UNDO_TIME);
+        self.undos.push(Undo {
+            at: Instant::now(),
+            writer,
+            key,
+            old,
+            revision: self.revision - 1,
         });
     }
 
@@ -382,7 +489,9 @@
     fn changes(&self, kind: &str, since: u64, due: bool) -> Option<Response> {
         match self.mode {
             Mode::Disconnect => return Some(Response::hang_up()),
-            _ if since < self.compacted => return Some(Response::new(StatusCode::Gone)),
+            _ if since < self.compacted || since > self.revision => {
+                return Some(Response::new(StatusCode::Gone));
+            }
             _ => {}
         }
         let new = |e: &&Event| e.kind == kind && e.revision > since;
@@ -401,6 +510,21 @@
 
 impl Handler for Store {
     async fn handle(&self, request: Request) -> Response {
+        let response = self.respond(request).await;
+        let era = self.state().era;
+        match era {
+            Some(era) if !response.is_hang_up() => {
+                let stated = response.with_header("store-era", &era.to_string());
+                stated.unwrap_or_else(|_| Response::hang_up())
+            }
+            _ => response,
+        }
+    }
+}
+
+impl Store {
+    /// Returns the response to a call, without the era.
+    async fn respond(&self, request: Request) -> Response {
         let url = request.head.url().clone();
         let mode = {
             let mut state = self.state();
--- a/crates/marigoldloom_telemetry/src/metrics.rs
+++ b/crates/marigoldloom_telemetry/src/metrics.rs
@@ -70,6 +70,7 @@
     decisions: Counter<u64>,
     platform_calls: Counter<u64>,
     kind_calls: Counter<u64>,
+    platform_returns: Counter<u64>,
     anonymous_responses: Counter<u64>,
     unmatched_responses: Counter<u64>,
     control_bytes: Counter<u64>,
@@ -119,6 +120,10 @@
                 .u64_counter("marigoldloom_record_calls")
                 .with_description("Calls to the platform for the records of one kind")
                 .build(),
+            platform_returns: meter
+                .u64_counter("marigoldloom_platform_returns")
+                .with_description("Returns of the platform from an older copy")
+                .build(),
             anonymous_responses: meter
                 .u64_counter("marigoldloom_anonymous_responses")
                 .with_description("Responses of upstreams without the id of a request")
@@ -193,6 +198,11 @@
         self.inner.platform_calls.add(1, &labels);
     }
 
+    /// Counts a return of the platform from an older copy.
+    pub fn record_platform_return(&self) {
+        self.inner.platform_returns.add(1, &[]);
+    }
+
     /// Counts a finished call to the platform for the records of `kind`.
     pub fn record_kind_call(&self, purpose: &'static str, kind: &'static str, ok: bool) {
         let labels = [
