Limit received bytes that aren't data of a body on each connection

Cause: hyper decodes the length of a chunk byte by byte and doesn't yield while there are bytes. The limit on received bytes ended with the head of a response, and accepted connections had none.

A connection over the limit ends, so its task does, too.

--- a/crates/marigoldloom_front/src/body.rs
+++ b/crates/marigoldloom_front/src/body.rs
@@ -1,13 +1,16 @@
 //! Reads message bodies within limits on each of them and on all of them together.
 
-use std::pin;
+use std::error::Error as _;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::{io, pin};
 
 use bytes::Bytes;
 use derive_more::derive;
 use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
+
+use crate::receive_limit::{Exceeded, ReceivedBody};
 
 /// Bytes of a body that are not counted in [`Memory`], so that small bodies can be read while large
 /// ones have taken all of it.
@@ -36,6 +39,9 @@
         /// The limit that was reached, in bytes.
         limit: usize,
     },
+    /// Too many bytes came that aren't part of the body.
+    #[display("the body's framing has {_0}")]
+    Framing(Exceeded),
     /// The connection ended or failed within the body.
     #[display("the body ended early")]
     Truncated,
@@ -170,8 +176,20 @@
     }
 }
 
+/// Returns why reading a body failed.
+fn explain(error: &hyper::Error) -> Error {
+    let source = error.source().and_then(|s| s.downcast_ref::<io::Error>());
+    let source = source.and_then(io::Error::get_ref);
+    let exceeded = source.and_then(|s| s.downcast_ref::<Exceeded>());
+    exceeded.map_or(Error::Truncated, |exceeded| Error::Framing(*exceeded))
+}
+
 /// Reads a whole body of at most `limit` bytes. While it is read, it uses `memory`.
-pub(crate) async fn read(body: Incoming, limit: usize, memory: &Memory) -> Result<Vec<u8>, Error> {
+pub(crate) async fn read(
+    body: ReceivedBody,
+    limit: usize,
+    memory: &Memory,
+) -> Result<Vec<u8>, Error> {
     let (bytes, _counted) = read_counted(body, limit, memory).await?;
     Ok(bytes)
 }
@@ -182,7 +200,7 @@
 /// The data is copied: pieces of a chunked body may be a byte long, and each one would keep the
 /// buffer that it was received in.
 pub(crate) async fn read_counted(
-    body: Incoming,
+    body: ReceivedBody,
     limit: usize,
     memory: &Memory,
 ) -> Result<(Vec<u8>, Counted), Error> {
@@ -199,7 +217,7 @@
     };
     let mut body = pin::pin!(body);
     while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_error| Error::Truncated)?;
+        let frame = frame.map_err(|error| explain(&error))?;
         if let Some(data) = frame.data_ref() {
             buffer.push(data, limit)?;
         }
--- a/crates/marigoldloom_front/src/client.rs
+++ b/crates/marigoldloom_front/src/client.rs
@@ -9,7 +9,6 @@
 use http::header::CONTENT_ENCODING;
 use http::{HeaderValue, Request, Response, response};
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::ext::ReasonPhrase;
 use marigoldloom_http::pool;
 use marigoldloom_routing::topology;
@@ -22,6 +21,7 @@
 use crate::connection::{self, Connection, LOGGED_ID_LEN};
 use crate::dialect::{Dialect, ResponseInfo};
 use crate::headers;
+use crate::receive_limit::ReceivedBody;
 
 /// Interval for closing connections past their idle timeout.
 const SWEEP_PERIOD: Duration = Duration::from_secs(1);
@@ -211,7 +211,7 @@
     async fn read_response(
         &self,
         subquery: &Subquery,
-        response: Response<Incoming>,
+        response: Response<ReceivedBody>,
         connection: &mut Connection,
         memory: &Memory,
     ) -> (Result<Reply, Error>, bool) {
--- a/crates/marigoldloom_front/src/connection.rs
+++ b/crates/marigoldloom_front/src/connection.rs
@@ -9,14 +9,13 @@
 use bytes::Bytes;
 use http::{Request, Response, Uri};
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use marigoldloom_http::{client, pool, socket};
 use marigoldloom_upstream::message::Call;
 use marigoldloom_upstream::upstream::{Error, Refusal};
 use smol_hyper::rt::FuturesIo;
 
-use crate::head_limit::{HeadLimit, LimitedStream};
+use crate::receive_limit::{LimitedStream, ReceiveLimit, ReceivedBody};
 use crate::sent_requests::SentRequests;
 
 /// Largest number of closed connections that a request may take from the pool before it fails.
@@ -32,10 +31,6 @@
 /// bytes.
 const BUFFER_LIMIT: usize = 64 * 1024;
 
-/// Number of bytes that may be received until the head of a response is complete. Parts of the body
-/// may be among them.
-const HEAD_BYTES: usize = 4 * BUFFER_LIMIT;
-
 /// Valid statuses of responses. hyper rejects lower numbers only.
 const STATUSES: RangeInclusive<u16> = 100..=599;
 
@@ -50,7 +45,7 @@
 pub struct Connection {
     pub(crate) address: SocketAddr,
     sender: http1::SendRequest<Full<Bytes>>,
-    limit: HeadLimit,
+    limit: ReceiveLimit,
     sent: SentRequests,
     /// Whether the connection has had a response.
     responded: bool,
@@ -77,7 +72,7 @@
     ) -> Result<Self, client::Error> {
         let stream = socket::connect(address, limit).await;
         let stream = stream.map_err(|_| client::Error::Unreachable)?;
-        let limit = HeadLimit::default();
+        let limit = ReceiveLimit::new(BUFFER_LIMIT);
         let stream = LimitedStream {
             tcp: stream,
             limit: limit.clone(),
@@ -139,7 +134,7 @@
     id: Option<&str>,
     left: impl Fn() -> Duration,
     request: impl Fn() -> Option<Request<Full<Bytes>>>,
-) -> Result<(Response<Incoming>, pool::Lease<Connection>), Error> {
+) -> Result<(Response<ReceivedBody>, pool::Lease<Connection>), Error> {
     for _ in 0..STALE_LIMIT {
         let limit = left().saturating_sub(UNSENT_MARGIN);
         let unused = |c: &Connection| id.is_none_or(|id| !c.sent.contains(id));
@@ -164,7 +159,7 @@
         if let Some(id) = id {
             connection.sent.record(id, left());
         }
-        connection.limit.begin(HEAD_BYTES);
+        connection.limit.reset();
         match connection.sender.try_send_request(request).await {
             Ok(response) if !STATUSES.contains(&response.status().as_u16()) => {
                 tracing::info!(
@@ -176,7 +171,7 @@
                 return Err(Error::Lost);
             }
             Ok(response) => {
-                connection.limit.end();
+                let response = response.map(|body| ReceivedBody::new(body, &connection.limit));
                 return Ok((response, lease));
             }
             Err(mut error) => {
--- a/crates/marigoldloom_front/src/endpoints.rs
+++ b/crates/marigoldloom_front/src/endpoints.rs
@@ -3,13 +3,13 @@
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
-use hyper::body::Incoming;
 use marigoldloom_catalog::configuration::Limits;
 use marigoldloom_catalog::follower::LatestView;
 use marigoldloom_runtime::scope::Scope;
 use marigoldloom_telemetry::metrics::Metrics;
 
 use crate::listener::Handler;
+use crate::receive_limit::ReceivedBody;
 
 /// Path of the metrics endpoint.
 const METRICS_PATH: &str = "/metrics";
@@ -35,7 +35,7 @@
         Limits::default()
     }
 
-    async fn handle(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    async fn handle(&self, request: Request<ReceivedBody>) -> Response<Full<Bytes>> {
         let mut response = Response::new(Full::new(Bytes::new()));
         *response.status_mut() = match request.uri().path() {
             path if path != self.path => StatusCode::NOT_FOUND,
@@ -55,7 +55,7 @@
         Limits::default()
     }
 
-    async fn handle(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    async fn handle(&self, request: Request<ReceivedBody>) -> Response<Full<Bytes>> {
         let (status, body) = match self.0.encode() {
             _ if request.uri().path() != METRICS_PATH => (StatusCode::NOT_FOUND, Vec::new()),
             Ok(text) => (StatusCode::OK, text),
--- a/crates/marigoldloom_front/src/exchange.rs
+++ b/crates/marigoldloom_front/src/exchange.rs
@@ -14,7 +14,6 @@
 use futures::future;
 use http::{Response, StatusCode};
 use http_body_util::Full;
-use hyper::body::Incoming;
 use marigoldloom_catalog::fleet::Member;
 use marigoldloom_peers::exchange::{Entry, Exchange, Space};
 use marigoldloom_peers::shared_map::{Outcome, SharedMap};
@@ -23,6 +22,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::peer_client::{self, PeerClient};
+use crate::receive_limit::ReceivedBody;
 
 /// Path of messages with entries.
 pub(crate) const PATH: &str = "/marigoldloom/exchange";
@@ -168,7 +168,7 @@
     }
 
     /// Answers a message of another instance.
-    pub(crate) async fn answer(&self, body: Incoming) -> Response<Full<Bytes>> {
+    pub(crate) async fn answer(&self, body: ReceivedBody) -> Response<Full<Bytes>> {
         let Some(message) = peer_client::read::<Message>(body, MAX_MESSAGE).await else {
             return peer_client::empty_response(StatusCode::BAD_REQUEST);
         };
--- a/crates/marigoldloom_front/src/front.rs
+++ b/crates/marigoldloom_front/src/front.rs
@@ -9,7 +9,6 @@
 use http::header::HOST;
 use http::{Request, Response, StatusCode, request};
 use http_body_util::Full;
-use hyper::body::Incoming;
 use marigoldloom_catalog::configuration::{Backend, Limits, Route, Scatter, Share};
 use marigoldloom_catalog::feed::Feed;
 use marigoldloom_catalog::follower::LatestView;
@@ -38,6 +37,7 @@
 use crate::homes::Homes;
 use crate::listener::{AddedHead, Handler};
 use crate::merge;
+use crate::receive_limit::ReceivedBody;
 use crate::records;
 use crate::rejection::{self, Rejection};
 use crate::responses;
@@ -142,7 +142,7 @@
     async fn receive(
         &self,
         caller: Caller,
-        request: Request<Incoming>,
+        request: Request<ReceivedBody>,
     ) -> Result<Arrival, Rejection> {
         let arrived_at = self.shared.rt.now();
         let view = self.shared.latest.get().ok_or(Rejection::NotReady)?;
@@ -178,6 +178,7 @@
         let (body, counted) = body.map_err(|error| match error {
             body::Error::TooLong { limit } => Rejection::BodyTooLong { limit },
             body::Error::NoMemory { limit } => Rejection::NoMemory { limit },
+            body::Error::Framing(exceeded) => Rejection::Framing(exceeded),
             body::Error::Truncated => Rejection::Truncated,
         })?;
         let (target, route) = (target.clone(), Arc::clone(route));
@@ -522,7 +523,7 @@
         }
     }
 
-    async fn handle(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    async fn handle(&self, request: Request<ReceivedBody>) -> Response<Full<Bytes>> {
         if self.from_peers && request.uri().path() == records::PATH {
             let (rt, feed) = (&self.shared.rt, &self.shared.feed);
             return records::answer(rt, feed, request.into_body()).await;
--- a/crates/marigoldloom_front/src/listener.rs
+++ b/crates/marigoldloom_front/src/listener.rs
@@ -25,6 +25,7 @@
 use smol_hyper::rt::FuturesIo;
 
 use crate::drain::Drain;
+use crate::receive_limit::{LimitedStream, ReceiveLimit, ReceivedBody};
 
 /// Pause after a failed accept, e.g. when the process has no free file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
@@ -35,6 +36,10 @@
 /// Smallest buffer that hyper accepts for a request's head, in bytes.
 const MIN_BUFFER: usize = 8 * 1024;
 
+/// Smallest buffer from which the limit on received bytes follows: bodies of requests may have chunk
+/// extensions and trailers of some kilobytes.
+const MIN_LIMITED_BUFFER: usize = 64 * 1024;
+
 /// Largest number of headers of a caller's request; hyper's default.
 const MAX_HEADERS: usize = 100;
 
@@ -66,7 +71,7 @@
     /// Answers one request. The future is dropped when the caller closes the connection.
     fn handle(
         &self,
-        request: Request<Incoming>,
+        request: Request<ReceivedBody>,
     ) -> impl Future<Output = Response<Full<Bytes>>> + Send;
 }
 
@@ -215,7 +220,10 @@
         tracing::debug!(%error, "connection ended before it was served");
         return;
     }
+    let buffer = limits.head.max(MIN_BUFFER).saturating_add(added.bytes);
+    let limit = ReceiveLimit::new(buffer.max(MIN_LIMITED_BUFFER));
     let answer = service_fn(|request: Request<Incoming>| async {
+        let request = request.map(|body| ReceivedBody::new(body, &limit));
         let mut response = handler.handle(request).await;
         if stop.closing.is_cancelled() {
             let close = HeaderValue::from_static("close");
@@ -228,13 +236,17 @@
         .timer(HyperRuntime(AsyncStd::new()))
         // hyper counts from the end of the previous request, so this also limits idle time.
         .header_read_timeout(limits.idle)
-        .max_buf_size(limits.head.max(MIN_BUFFER).saturating_add(added.bytes))
+        .max_buf_size(buffer)
         // Otherwise hyper copies each body into a buffer that stays as large as the largest one.
         .writev(true)
         .auto_date_header(false);
     if added.headers > 0 {
         builder.max_headers(MAX_HEADERS + added.headers);
     }
+    let stream = LimitedStream {
+        tcp: stream,
+        limit: limit.clone(),
+    };
     let connection = builder.serve_connection(FuturesIo::new(stream), answer);
     let mut connection = pin::pin!(connection);
     let stopped = pin::pin!(stop.stopped.cancelled());
--- a/crates/marigoldloom_front/src/peer_client.rs
+++ b/crates/marigoldloom_front/src/peer_client.rs
@@ -9,7 +9,6 @@
 use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Method, Request, Response, StatusCode, Uri};
 use http_body_util::Full;
-use hyper::body::Incoming;
 use marigoldloom_http::pool;
 use marigoldloom_runtime::runtime::{self, Runtime};
 use serde::Serialize;
@@ -17,6 +16,7 @@
 
 use crate::body::{self, Memory};
 use crate::connection::{self, Connection};
+use crate::receive_limit::ReceivedBody;
 
 /// Timeout for opening a connection to another instance.
 const CONNECT_LIMIT: Duration = Duration::from_millis(150);
@@ -114,7 +114,7 @@
 
 /// Reads a message of at most `limit` bytes. Returns `None` and logs the error if it can't be
 /// decoded.
-pub(crate) async fn read<T: DeserializeOwned>(body: Incoming, limit: usize) -> Option<T> {
+pub(crate) async fn read<T: DeserializeOwned>(body: ReceivedBody, limit: usize) -> Option<T> {
     let body = body::read(body, limit, &Memory::new(limit)).await.ok()?;
     serde_json::from_slice(&body)
         .inspect_err(|error| tracing::warn!(%error, "a message of an instance can't be decoded"))
--- a/crates/marigoldloom_front/src/records.rs
+++ b/crates/marigoldloom_front/src/records.rs
@@ -5,7 +5,6 @@
 use bytes::Bytes;
 use http::{Response, StatusCode};
 use http_body_util::Full;
-use hyper::body::Incoming;
 use marigoldloom_catalog::feed::{Feed, Revisions, Update};
 use marigoldloom_catalog::fleet::Member;
 use marigoldloom_catalog::relay::{self, POLL_WAIT, RESPONSE_TIMEOUT};
@@ -14,6 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::peer_client::{self, PeerClient};
+use crate::receive_limit::ReceivedBody;
 
 /// Path of a request for records.
 pub(crate) const PATH: &str = "/marigoldloom/records/3";
@@ -74,7 +74,7 @@
 pub(crate) async fn answer(
     rt: &impl Runtime,
     feed: &Feed,
-    records_request: Incoming,
+    records_request: ReceivedBody,
 ) -> Response<Full<Bytes>> {
     let records_request = peer_client::read::<RecordsRequest>(records_request, REQUEST_LIMIT);
     let Some(records_request) = records_request.await else {
--- a/crates/marigoldloom_front/src/rejection.rs
+++ b/crates/marigoldloom_front/src/rejection.rs
@@ -3,6 +3,8 @@
 use derive_more::derive;
 use http::StatusCode;
 
+use crate::receive_limit::Exceeded;
+
 /// Number of characters of a caller's value that are logged.
 const LOGGED_LEN: usize = 120;
 
@@ -57,6 +59,9 @@
         /// The limit in bytes.
         limit: usize,
     },
+    /// Too many bytes of the body's framing arrived.
+    #[display("the body's framing has {_0}")]
+    Framing(Exceeded),
     /// The body ended early or could not be read.
     #[display("the body ended early")]
     Truncated,
@@ -73,9 +78,11 @@
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Self::NoRoute { .. } => StatusCode::NOT_FOUND,
-            Self::NoHost { .. } | Self::NoPath { .. } | Self::NoId { .. } | Self::Truncated => {
-                StatusCode::BAD_REQUEST
-            }
+            Self::NoHost { .. }
+            | Self::NoPath { .. }
+            | Self::NoId { .. }
+            | Self::Framing(_)
+            | Self::Truncated => StatusCode::BAD_REQUEST,
             Self::BodyTooLong { .. } => StatusCode::PAYLOAD_TOO_LARGE,
             Self::OtherVersion => StatusCode::CONFLICT,
         }
