Keep expired replicas after an outage that another instance reports

An instance that compares its records with others applied theirs without the end of the outage that they had seen, and removed all replicas whose records had expired in it, in place of giving them 2.5 s to report again. Found while the order of questions to others changed: expired_replicas_have_a_grace_period_on_all_instances failed then (some instances with no replica), and passes with this.

--- a/crates/marigoldloom_catalog/src/follower.rs
+++ b/crates/marigoldloom_catalog/src/follower.rs
@@ -445,6 +445,13 @@
     }
 
     fn apply_update(&self, update: Update) {
+        self.note_recovery(&update);
+        self.apply_batches(update.batches);
+    }
+
+    /// Records the end of an outage of the platform that another instance knows of. Records that it lacks
+    /// may have expired meanwhile.
+    fn note_recovery(&self, update: &Update) {
         let age = update.recovered_ms.map(Duration::from_millis);
         let age = age.filter(|age| *age < MAX_RECOVERY_AGE);
         if let Some(age) = age {
@@ -453,7 +460,6 @@
             self.state().recovered_at = RecoveredAt(Some(at));
             self.sources.feed.set_recovered(at);
         }
-        self.apply_batches(update.batches);
     }
 
     fn apply_batches(&self, batches: impl IntoIterator<Item = (Kind, Batch)>) {
--- a/crates/marigoldloom_catalog/src/follower/comparison.rs
+++ b/crates/marigoldloom_catalog/src/follower/comparison.rs
@@ -25,6 +25,7 @@
             let peers = self.sources.roster.comparison_peers();
             let asked = peers.iter().map(|peer| self.poll_now(peer, &known));
             let updates = future::join_all(asked).await.into_iter().flatten();
+            let updates = updates.inspect(|update| self.note_recovery(update));
             let batches = updates.flat_map(|update| update.batches);
             let failing: Vec<_> = self.state().failures.keys().copied().collect();
             let (unread, batches): (Vec<_>, Vec<_>) =
