Ask the platform as soon as both polled instances are lost

Cause: an instance found two silent ones after 2.75 s and then asked the next two, and so on; the platform came last. The end of a pause made it leave instances that answered for silent ones.

Silence shows after 2.25 s in place of 2.75 s.

--- a/crates/marigoldloom_catalog/src/follower.rs
+++ b/crates/marigoldloom_catalog/src/follower.rs
@@ -81,6 +81,10 @@
     Kind::Replicas,
 ];
 
+/// Shortest time between two checks whether the platform answers although all polled peers say that it
+/// doesn't. In an outage, each instance makes them.
+const DOUBT_PERIOD: Duration = Duration::from_secs(3);
+
 /// Time between two checks whether a watching instance can poll peers instead.
 const ROLE_PERIOD: Duration = Duration::from_secs(1);
 
@@ -146,6 +150,7 @@
             known: Revisions::new(),
             recovered_at: RecoveredAt::default(),
             era: 0,
+            doubted_at: None,
             down_since: None,
             last_update: Timestamp::ZERO,
             failures: BTreeMap::new(),
@@ -175,6 +180,8 @@
     recovered_at: RecoveredAt,
     /// Latest era of the platform whose start was logged.
     era: u64,
+    /// When this instance last checked the platform because its peers had lost it.
+    doubted_at: Option<Timestamp>,
     /// Start of the platform's current outage; `None` while it answers.
     down_since: Option<Timestamp>,
     /// When a poll of a peer last succeeded.
@@ -190,10 +197,14 @@
 
     async fn run(&self) {
         self.await_roster().await;
+        let mut lost = false;
         loop {
             match self.sources.roster.role(self.rt.now()) {
-                Role::Follower(peers) => self.follow_peers(&peers).await,
-                Role::Watcher | Role::Unknown => self.watch_platform().await,
+                Role::Follower(peers) if !lost => lost = self.follow_peers(&peers).await,
+                Role::Follower(_) | Role::Watcher | Role::Unknown => {
+                    self.watch_platform().await;
+                    lost = false;
+                }
             }
         }
     }
@@ -347,24 +358,57 @@
         }
     }
 
-    /// Completes once both peers that this instance can poll have answered.
+    /// Completes once both peers that this instance can poll have answered twice. Applies what they know.
+    /// A peer that is about to lose its own contact to the platform answers at once but doesn't hold a
+    /// poll.
     async fn until_peers_ready(&self) {
         loop {
+            if let Role::Follower(peers) = self.sources.roster.role(self.rt.now())
+                && self.try_peers(&peers, Duration::ZERO).await
+                && self.try_peers(&peers, POLL_WAIT).await
+            {
+                return;
+            }
             self.rt.sleep(ROLE_PERIOD).await;
-            let Role::Follower(peers) = self.sources.roster.role(self.rt.now()) else {
-                continue;
-            };
+        }
+    }
+
+    /// Asks `peers` for changes, which they may wait for. Returns whether all of them answered.
+    async fn try_peers(&self, peers: &[Member], wait: Duration) -> bool {
+        let asked = peers.iter().map(|peer| self.try_peer(peer, wait));
+        let answers = future::join_all(asked).await;
+        answers.into_iter().all(|answered| answered)
+    }
+
+    /// Asks a peer for changes and applies them. Returns whether it answered. A peer that is disconnected
+    /// from the platform may have begun to watch it.
+    async fn try_peer(&self, peer: &Member, wait: Duration) -> bool {
+        let start = self.rt.now();
+        loop {
             let known = self.state().known.clone();
-            let asked = peers.iter().map(|peer| self.poll_once(peer, &known));
-            let answers = future::join_all(asked).await;
-            if answers.iter().all(Result::is_ok) {
-                return;
+            match self.sources.peers.poll(peer, &known, wait).await {
+                Ok(update) => {
+                    self.sources.roster.record_success(peer);
+                    self.apply_update(update);
+                    return true;
+                }
+                Err(relay::Error::Disconnected)
+                    if self.rt.now().since(start) < relay::DISCONNECTED_LIMIT =>
+                {
+                    self.rt.sleep(DISCONNECTED_PAUSE).await;
+                }
+                Err(error) => {
+                    let roster = &self.sources.roster;
+                    roster.record_failure(self.rt.now(), peer, error);
+                    return false;
+                }
             }
         }
     }
 
-    /// Polls `peers` until all of them fail or the instance's role changes.
-    async fn follow_peers(&self, peers: &[Member]) {
+    /// Polls `peers` until all of them fail or the instance's role changes. Returns whether the platform
+    /// must be asked next.
+    async fn follow_peers(&self, peers: &[Member]) -> bool {
         let names: Vec<_> = peers.iter().map(|p| &*p.candidate.name).collect();
         tracing::info!(instances = names.join(", "), "following other instances");
         Kind::ALL
@@ -372,40 +416,76 @@
             .for_each(|kind| self.clear_failure(kind));
         let polls = future::join_all(peers.iter().map(|peer| self.poll(peer)));
         let role_changed = async {
-            let same = || match self.sources.roster.role(self.rt.now()) {
-                Role::Follower(now) => *peers == *now,
-                Role::Watcher | Role::Unknown => false,
-            };
-            while same() {
+            while !self.is_role_changed(peers).await {
                 if self.rt.now().since(self.state().last_update) > relay::STALE_AFTER {
                     self.sources.feed.set_disconnected();
                 }
                 self.rt.sleep(DISCONNECTED_PAUSE).await;
             }
         };
-        if let Either::Left(_) = future::select(pin::pin!(polls), pin::pin!(role_changed)).await {
-            self.sources.feed.set_disconnected();
+        match future::select(pin::pin!(polls), pin::pin!(role_changed)).await {
+            Either::Left((errors, _)) => {
+                self.sources.feed.set_disconnected();
+                self.must_ask_platform(&errors).await
+            }
+            Either::Right(_) => false,
+        }
+    }
+
+    /// Returns whether this instance has another role than polling `peers`. A peer that doesn't answer
+    /// replaces none of them.
+    async fn is_role_changed(&self, peers: &[Member]) -> bool {
+        match self.sources.roster.role(self.rt.now()) {
+            Role::Follower(proposed) => {
+                let (mut same, mut new) = (0, Vec::new());
+                for peer in proposed {
+                    match peers.contains(&peer) {
+                        true => same += 1,
+                        false => new.push(peer),
+                    }
+                }
+                same < peers.len() && self.try_peers(&new, Duration::ZERO).await
+            }
+            Role::Watcher | Role::Unknown => true,
+        }
+    }
+
+    /// Returns whether the platform must be asked after all polled peers have failed with `errors`: the
+    /// next ones may be lost as well. If the peers have lost the platform, this instance may have lost
+    /// it, too.
+    async fn must_ask_platform(&self, errors: &[relay::Error]) -> bool {
+        if errors.contains(&relay::Error::Unreachable) {
+            return true;
+        }
+        let now = self.rt.now();
+        let recent = |at: Timestamp| now.since(at) < DOUBT_PERIOD;
+        if self.state().doubted_at.is_some_and(recent) {
+            return false;
         }
+        self.state().doubted_at = Some(now);
+        self.probe_kind(Kind::Evacuations, Duration::ZERO)
+            .await
+            .is_ok()
     }
 
-    /// Polls one peer repeatedly until it fails.
-    async fn poll(&self, peer: &Member) {
-        let mut answered = self.rt.now();
+    /// Polls one peer repeatedly until it fails. Returns why.
+    async fn poll(&self, peer: &Member) -> relay::Error {
+        let mut disconnected = None;
         loop {
             let known = self.state().known.clone();
             let error = match self.sources.peers.poll(peer, &known, POLL_WAIT).await {
                 Ok(update) => {
-                    answered = self.rt.now();
+                    disconnected = None;
                     self.sources.roster.record_success(peer);
                     self.apply_update(update);
-                    self.publish_peer_records(answered);
+                    self.publish_peer_records(self.rt.now());
                     continue;
                 }
                 Err(error) => error,
             };
             let now = self.rt.now();
             if error == relay::Error::Disconnected
-                && now.since(answered) < relay::DISCONNECTED_LIMIT
+                && now.since(*disconnected.get_or_insert(now)) < relay::DISCONNECTED_LIMIT
             {
                 self.rt.sleep(DISCONNECTED_PAUSE).await;
                 continue;
@@ -416,21 +496,8 @@
             if error == relay::Error::Disconnected {
                 self.state().down_since.get_or_insert(now);
             }
-            return;
-        }
-    }
-
-    /// Polls a peer once and records the result in the roster.
-    async fn poll_once(&self, peer: &Member, known: &Revisions) -> Result<Update, relay::Error> {
-        let answer = self.sources.peers.poll(peer, known, POLL_WAIT).await;
-        match &answer {
-            Ok(_) => self.sources.roster.record_success(peer),
-            Err(error) => self
-                .sources
-                .roster
-                .record_failure(self.rt.now(), peer, *error),
+            return error;
         }
-        answer
     }
 
     /// Serves the records that peers returned at `now` to other instances. Peers return all kinds that
--- a/crates/marigoldloom_catalog/src/relay.rs
+++ b/crates/marigoldloom_catalog/src/relay.rs
@@ -4,7 +4,7 @@
 //! rendezvous order. The first two that respond watch the platform. The others form a tree below
 //! them: each polls two instances before it in the order and applies the updates of both, so that a
 //! single lost connection delays no record. An instance without two such peers watches the platform
-//! itself.
+//! itself, and so does one that has lost both until two others answer.
 
 use std::collections::BTreeMap;
 use std::ops::Range;
@@ -22,13 +22,14 @@
 pub const WATCHERS_PER_DOMAIN: usize = 2;
 
 /// Number of instances that poll the same two peers while no instance fails. With [`POLL_WAIT`], a
-/// peer answers 8 polls per second of at most 500 bytes each, which is half of the traffic that an
-/// instance may use for control messages.
+/// peer answers 11 polls per second of at most 500 bytes each, of the 9 KB that an instance may use for
+/// control messages.
 const FANOUT: usize = 16;
 
-/// How long a peer holds a poll while it has no changes. A peer that stopped responding is detected
-/// after that time.
-pub const POLL_WAIT: Duration = Duration::from_secs(2);
+/// How long a peer holds a poll while it has no changes. With [`RESPONSE_TIMEOUT`], this is the time after
+/// which a silent peer is detected. A configuration must be in force 3 s after it was written; the
+/// rest is for asking the platform and for the levels of the tree below.
+pub const POLL_WAIT: Duration = Duration::from_millis(1_500);
 
 /// How long a peer may be disconnected from the platform before another peer replaces it. A peer
 /// that has just started to watch the platform connects sooner.
--- a/crates/marigoldloom_catalog/tests/relay.rs
+++ b/crates/marigoldloom_catalog/tests/relay.rs
@@ -184,6 +184,93 @@
     });
 }
 
+/// Guards against instances that hear of a change late because others that they could poll are silent,
+/// however many, and however long: they were asked two by two while the platform answered.
+#[test]
+fn changes_arrive_in_time_behind_silent_instances() {
+    struct Case {
+        instances: usize,
+        /// Number of silent instances, the first ones that others poll.
+        silent: usize,
+        /// Time from the silence to the change.
+        before: Duration,
+    }
+    let second = Duration::from_secs(1);
+    let cases = [
+        (6, 2),
+        (6, 4),
+        (16, 14),
+        (60, 54),
+        (217, 20),
+        (217, 200),
+        (217, 215),
+    ];
+    for (instances, silent) in cases {
+        for before in [Duration::from_millis(10), second, 5 * second, 37 * second] {
+            let case = Case {
+                instances,
+                silent,
+                before,
+            };
+            virtual_runtime::block_on(1, |rt| async move {
+                let names: Vec<_> = (0..case.instances).map(|i| format!("i{i}")).collect();
+                let fleet = Fleet::start(&rt, &names).await;
+                fleet.configure(4);
+                rt.sleep(Duration::from_millis(200)).await;
+                let silent: BTreeSet<_> = fleet.order().into_iter().take(case.silent).collect();
+                for name in &silent {
+                    fleet.processes[name].pause();
+                }
+                *fleet.network.silent.lock().unwrap() = silent.clone();
+                rt.sleep(case.before).await;
+                for version in [5, 6] {
+                    fleet.configure(version);
+                    rt.sleep(CONFIGURATION_DEADLINE).await;
+                    let behind = fleet.behind(version);
+                    let behind: Vec<_> = behind.iter().filter(|n| !silent.contains(**n)).collect();
+                    assert!(
+                        behind.is_empty(),
+                        "{} of {} silent, change {version} after {:?}: {behind:?}",
+                        case.silent,
+                        case.instances,
+                        case.before
+                    );
+                }
+                // They come back, and only the usual number of instances calls the platform.
+                fleet.network.silent.lock().unwrap().clear();
+                silent
+                    .iter()
+                    .for_each(|name| fleet.processes[name].resume());
+                rt.sleep(Duration::from_secs(75)).await;
+                assert_eq!(fleet.watching(), relay::WATCHERS_PER_DOMAIN);
+            });
+        }
+    }
+}
+
+/// Guards against calls to the platform that grow with the number of instances while others are silent.
+#[test]
+fn silent_instances_cause_few_calls() {
+    for (instances, silent) in [(16, 14), (217, 2), (217, 200)] {
+        virtual_runtime::block_on(1, |rt| async move {
+            let names: Vec<_> = (0..instances).map(|i| format!("i{i}")).collect();
+            let fleet = Fleet::start(&rt, &names).await;
+            let silent: BTreeSet<_> = fleet.order().into_iter().take(silent).collect();
+            silent.iter().for_each(|name| fleet.processes[name].pause());
+            *fleet.network.silent.lock().unwrap() = silent;
+            fleet.platform.with_state(|s| s.list_calls = 0);
+            rt.sleep(Duration::from_secs(60)).await;
+            let lists = fleet.platform.with_state(|s| s.list_calls);
+            // Each instance lists each kind once, and those that go on watching a second time.
+            let allowed = 18 * 2 * Kind::ALL.len();
+            assert!(
+                lists as usize <= allowed,
+                "{lists} of {allowed} lists, {instances} instances"
+            );
+        });
+    }
+}
+
 /// Guards against instances on lower levels of the tree that stay on an old configuration when the
 /// platform stops answering the watching instances.
 #[test]
--- a/crates/marigoldloom_catalog/tests/support/fleet.rs
+++ b/crates/marigoldloom_catalog/tests/support/fleet.rs
@@ -10,6 +10,7 @@
 use marigoldloom_catalog::follower::{self, LatestView, Sources};
 use marigoldloom_catalog::relay::{self, Role, Roster};
 use marigoldloom_catalog::source::Kind;
+use marigoldloom_routing::home;
 use marigoldloom_runtime::runtime::Runtime;
 use marigoldloom_testkit::virtual_runtime::VirtualRuntime;
 
@@ -154,6 +155,23 @@
         }
     }
 
+    /// Writes a configuration to the platform.
+    pub(crate) fn configure(&self, version: u64) {
+        let record = Some(configuration(version));
+        self.platform.set(Kind::Configuration, "main", record);
+    }
+
+    /// Returns the instances in the order in which others poll them: most are polled by those behind them.
+    pub(crate) fn order(&self) -> Vec<Arc<str>> {
+        let candidates: Vec<_> = self
+            .latest
+            .keys()
+            .map(|name| member(name).candidate)
+            .collect();
+        let order = home::home_set("platform watchers", &candidates, candidates.len());
+        order.into_iter().map(|candidate| candidate.name).collect()
+    }
+
     /// Returns the instances that don't have `version` or a later one in force.
     pub(crate) fn behind(&self, version: u64) -> Vec<&str> {
         let old = |latest: &LatestView| in_force(latest).is_none_or(|(known, _)| known < version);
