Pace upstreams whose process has ended while the platform can't tell

Cause: only the platform's records told of a cold start.

An instance that sees a process end paces the upstream like a cold one until the service's warm-up time after its first reply, or until its record names another process.

--- a/crates/marigoldloom_catalog/src/configuration.rs
+++ b/crates/marigoldloom_catalog/src/configuration.rs
@@ -114,6 +114,8 @@
     /// Greatest rate of requests to one cold replica from all instances together, in requests per
     /// second; zero means no limit.
     pub cold_rate: f64,
+    /// Time for which a replica is cold after its start.
+    pub warmup: Duration,
 }
 
 impl Service {
@@ -122,6 +124,7 @@
     pub const MOST_RESTRICTED: Self = Self {
         connections: 1,
         cold_rate: f64::MIN_POSITIVE,
+        warmup: Duration::from_secs(10),
     };
 }
 
--- a/crates/marigoldloom_catalog/src/view.rs
+++ b/crates/marigoldloom_catalog/src/view.rs
@@ -171,10 +171,13 @@
         let replica = state.replica;
         let service = self.current.services.get(&replica.service);
         let rate = service.map_or(0.0, |s| s.cold_rate);
-        let warm_at = state.warm_at.filter(|_| rate > 0.0);
-        let pace = warm_at.map(|end| topology::Pace {
-            interval: Duration::from_secs_f64(rate.max(MIN_COLD_RATE).recip()),
-            end,
+        let interval = Duration::from_secs_f64(rate.max(MIN_COLD_RATE).recip());
+        let limited = service.filter(|_| rate > 0.0);
+        let warm_at = state.warm_at.filter(|_| limited.is_some());
+        let pace = warm_at.map(|end| topology::Pace { interval, end });
+        let start_pace = limited.map(|service| topology::StartPace {
+            interval,
+            time: service.warmup,
         });
         topology::Replica {
             target: Target {
@@ -192,6 +195,7 @@
             cold_slots: replica.slots.max(1).saturating_mul(COLD_REQUESTS_PER_SLOT),
             connections: service.map_or(1, |s| s.connections),
             pace,
+            start_pace,
             usable: state.usable,
             born: replica.born,
         }
--- a/crates/marigoldloom_catalog/tests/support/mod.rs
+++ b/crates/marigoldloom_catalog/tests/support/mod.rs
@@ -319,6 +319,7 @@
     let service = Service {
         connections: 8,
         cold_rate: 0.0,
+        warmup: Duration::ZERO,
     };
     Record::Configuration(Box::new(Configuration {
         version,
--- a/crates/marigoldloom_front/src/homes.rs
+++ b/crates/marigoldloom_front/src/homes.rs
@@ -226,6 +226,7 @@
             slots: MAX_QUERIES,
             cold_slots: MAX_QUERIES,
             pace: None,
+            start_pace: None,
             connections: MAX_QUERIES,
             usable: true,
             born: None,
--- a/crates/marigoldloom_limits/src/pace.rs
+++ b/crates/marigoldloom_limits/src/pace.rs
@@ -56,6 +56,11 @@
         }
     }
 
+    /// Forgets an upstream that isn't rate-limited now.
+    pub fn forget(&self, upstream: &str) {
+        self.next().remove(upstream);
+    }
+
     /// Removes the upstreams for which `keep` returns false.
     pub fn retain(&self, keep: impl Fn(&str) -> bool) {
         self.next().retain(|upstream, _| keep(upstream));
--- a/crates/marigoldloom_query/src/selection.rs
+++ b/crates/marigoldloom_query/src/selection.rs
@@ -172,6 +172,15 @@
             false => None,
         };
         let pace = replica.pace.filter(|pace| pace.end > now);
+        let pace = pace.or_else(|| {
+            let start = replica.start_pace?;
+            let end = health.restarted_until(now, start.time)?;
+            let interval = start.interval;
+            Some(topology::Pace { interval, end })
+        });
+        if pace.is_none() && replica.start_pace.is_some() {
+            self.core.pacer.forget(name);
+        }
         let own_interval = pace.map(|pace| self.shard_service(shard).own_interval(pace.interval));
         let throttled = own_interval.is_some_and(|interval| {
             let fraction = || self.core.rt.random() as f64 / u64::MAX as f64;
--- a/crates/marigoldloom_routing/src/health.rs
+++ b/crates/marigoldloom_routing/src/health.rs
@@ -226,11 +226,22 @@
     untrusted_id: Option<u64>,
     last_reply: Option<Timestamp>,
     report: Option<(Timestamp, message::Report)>,
+    /// Set once there are signs that the process has ended.
+    ended: Option<Ended>,
     /// Until when no requests are sent because the upstream shed load.
     shed: Timestamp,
     notice: Notice,
 }
 
+/// What this instance has seen since the process of an upstream ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Ended {
+    /// No reply.
+    Silent,
+    /// A reply, for the first time then: another process runs.
+    Replaced(Timestamp),
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Cold {
     since: Timestamp,
@@ -262,6 +273,7 @@
             untrusted_id: None,
             last_reply: None,
             report: None,
+            ended: None,
             shed: Timestamp::ZERO,
             notice: Notice::default(),
         };
@@ -285,6 +297,16 @@
         self.lock().notice.is_unwilling(now)
     }
 
+    /// Returns until when the upstream may be cold because its process has ended and another one has
+    /// started, which stays cold for `time`. Returns `None` without signs of that.
+    pub fn restarted_until(&self, now: Timestamp, time: Duration) -> Option<Timestamp> {
+        let since = match self.lock().ended? {
+            Ended::Silent => now,
+            Ended::Replaced(at) => at,
+        };
+        Some(since + time).filter(|end| *end > now)
+    }
+
     /// Returns when the latest response arrived; `None` if there was none.
     pub fn last_reply(&self) -> Option<Timestamp> {
         self.lock().last_reply
@@ -333,6 +355,9 @@
     ) -> Vec<Change> {
         let mut inner = self.end_request(sent);
         inner.latency.sample(now, now.since(sent));
+        if inner.ended == Some(Ended::Silent) {
+            inner.ended = Some(Ended::Replaced(now));
+        }
         inner.failure_rate *= 1.0 - RESULT_WEIGHT;
         inner.failures = 0;
         inner.ejections = 0;
@@ -375,6 +400,7 @@
             | upstream::Error::TimedOut
             | upstream::Error::Mismatch => (inner.count_failure(now), None),
         };
+        inner.note_end(error);
         if may_run {
             inner.keep_slot(now, deadline);
         }
@@ -574,6 +600,15 @@
         was_warm.then_some(Change::Cold(cause))
     }
 
+    /// Records whether `error` shows that the process has ended: no connection can be opened after one was
+    /// lost, or repeatedly.
+    fn note_end(&mut self, error: &upstream::Error) {
+        let refused = *error == upstream::Error::Unreachable;
+        if *error == upstream::Error::Ended || refused && self.failures >= EJECTION_THRESHOLD {
+            self.ended = Some(Ended::Silent);
+        }
+    }
+
     fn handle_refusal(&mut self, now: Timestamp, refusal: upstream::Refusal) -> Option<Change> {
         match refusal {
             upstream::Refusal::Shed => self.shed = now + SHED_PAUSE,
--- a/crates/marigoldloom_routing/src/topology.rs
+++ b/crates/marigoldloom_routing/src/topology.rs
@@ -66,6 +66,8 @@
     pub connections: u32,
     /// Request rate that it can handle while cold; none if operators set no limit.
     pub pace: Option<Pace>,
+    /// Request rate that a process of it can handle after its start; none if operators set no limit.
+    pub start_pace: Option<StartPace>,
     /// Whether it takes new work: it is not leaving, and its failure domain is not out.
     pub usable: bool,
     /// Start time of the process in wall-clock milliseconds, if it is known. It distinguishes a
@@ -104,6 +106,15 @@
     pub end: Timestamp,
 }
 
+/// Request rate that the process of an upstream can handle after its start, over all instances.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StartPace {
+    /// Minimum time between two requests.
+    pub interval: Duration,
+    /// Time from the start until the process counts as warm.
+    pub time: Duration,
+}
+
 /// The usable replicas of one snapshot, by shard.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Shards {
@@ -251,7 +262,7 @@
         views.any(|view| {
             view.upstreams
                 .get(upstream)
-                .is_some_and(|r| r.pace.is_some())
+                .is_some_and(|r| r.pace.is_some() || r.start_pace.is_some())
         })
     }
 
@@ -446,6 +457,7 @@
             slots: record.slots,
             cold_slots: record.cold_slots,
             pace: None,
+            start_pace: None,
             connections: record.connections,
             usable: live && !self.domains_out.contains(&record.domain),
             born: None,
--- a/crates/marigoldloom_routing/tests/choice.rs
+++ b/crates/marigoldloom_routing/tests/choice.rs
@@ -27,6 +27,7 @@
         slots: 2,
         cold_slots: 2,
         pace: None,
+        start_pace: None,
         connections: 30,
         usable: true,
         born: None,
