Let followers learn of an era before its first change

An instance that gets its records from others learned of a new era with the first change of a kind, so that an evacuation that the copy had, and that was withdrawn then, stayed in force for 10 s more; and a kind whose calls failed since the return made its watching instances list all kinds each second. evacuation_in_the_copy_can_be_revoked_at_once failed before the first part; failing_kind_causes_few_lists_after_a_return guards the second (its failure before was not run).

--- a/crates/marigoldloom_catalog/src/catalog.rs
+++ b/crates/marigoldloom_catalog/src/catalog.rs
@@ -145,6 +145,13 @@
         }
     }
 
+    /// Ends the preparation of [`Catalog::begin_era`] for the records of `kind` that the copy has. It follows the
+    /// first records of the era.
+    pub fn confirm_present(&mut self, kind: Kind) {
+        self.unconfirmed
+            .retain(|(of, _), unconfirmed| *of != kind || unconfirmed.is_missing);
+    }
+
     /// Replaces all records of `kind` with those of `listing`; sets only these if it is partial.
     pub fn replace(
         &mut self,
@@ -370,21 +377,19 @@
     fn remove_unconfirmed(&mut self, now: Timestamp) -> bool {
         let due = |unconfirmed: &Unconfirmed| unconfirmed.until <= now;
         let expired = self.unconfirmed.extract_if(.., |_, u| due(u));
-        let expired: Vec<_> = expired.collect();
-        let missing: Vec<_> = expired.iter().filter(|(_, u)| u.is_missing).collect();
-        for ((kind, name), _) in &missing {
+        let missing: Vec<_> = expired.map(|(key, _)| key).collect();
+        for (kind, name) in &missing {
             self.apply(*kind, Arc::clone(name), None, now, RecoveredAt::default());
         }
-        if !expired.is_empty() {
+        if !missing.is_empty() {
             let names = missing.iter().take(LOGGED_RECORDS);
             let names: Vec<_> = names
-                .map(|((kind, name), _)| format!("{kind}: {name}"))
+                .map(|(kind, name)| format!("{kind}: {name}"))
                 .collect();
             tracing::info!(
-                unchanged = expired.len() - missing.len(),
-                removed = missing.len(),
+                count = missing.len(),
                 first = names.join("; "),
-                "records of the platform's earlier era that it hasn't stated again"
+                "records of the platform's earlier era count as removed"
             );
         }
         !missing.is_empty()
--- a/crates/marigoldloom_catalog/src/feed.rs
+++ b/crates/marigoldloom_catalog/src/feed.rs
@@ -347,7 +347,8 @@
                 let changes: Vec<_> = changes.collect();
                 let revision = self.newest;
                 let batch = Batch::Changes(Changes { changes, revision });
-                (!batch.is_empty()).then_some(batch)
+                // Whoever knows an earlier era must learn of the new one before its first change.
+                (!batch.is_empty() || known.era < revision.era).then_some(batch)
             }
             _ => {
                 let present = self.records.iter();
--- a/crates/marigoldloom_catalog/tests/eras.rs
+++ b/crates/marigoldloom_catalog/tests/eras.rs
@@ -16,7 +16,7 @@
 use marigoldloom_runtime::runtime::Runtime;
 use marigoldloom_testkit::virtual_runtime;
 use support::fleet::{Fleet, NAMES};
-use support::{FakePlatform, configuration, in_force, member, replica};
+use support::{FakePlatform, Fault, configuration, in_force, member, replica};
 
 /// Time in which a new configuration must be in force on all instances.
 const CONFIGURATION_DEADLINE: Duration = Duration::from_secs(3);
@@ -226,6 +226,53 @@
     }
 }
 
+/// Guards against an evacuation that stays in force after it was revoked, because the platform came back
+/// from an older copy shortly before.
+#[test]
+fn evacuation_in_the_copy_can_be_revoked_at_once() {
+    run(|fleet| async move {
+        let platform = &fleet.platform;
+        platform.set(Kind::Evacuations, "north", Some(Record::Evacuation));
+        fleet.rt.sleep(DELAY).await;
+        let copy = platform.copy();
+        configure(&fleet, 5);
+        fleet.rt.sleep(DELAY).await;
+        platform.restore(copy);
+        fleet.rt.sleep(Duration::from_secs(2)).await;
+        platform.set(Kind::Evacuations, "north", None);
+        fleet.rt.sleep(DELAY).await;
+        for (name, latest) in &fleet.latest {
+            let used = in_force(latest).map(|(_, replicas)| replicas.len());
+            assert_eq!(used, Some(2), "{name}");
+        }
+    });
+}
+
+/// Guards against lists of all kinds each second, because the calls for one of them fail since the
+/// platform's return.
+#[test]
+fn failing_kind_causes_few_lists_after_a_return() {
+    run(|fleet| async move {
+        let copy = fleet.platform.copy();
+        configure(&fleet, 5);
+        fleet.rt.sleep(DELAY).await;
+        fleet.platform.with_state(|s| {
+            s.faults.insert(Kind::Evacuations, Fault::Status(503));
+        });
+        fleet.platform.restore(copy);
+        configure(&fleet, 6);
+        fleet.rt.sleep(Duration::from_secs(5)).await;
+        assert!(fleet.behind(6).is_empty(), "{:?}", fleet.behind(6));
+        fleet.platform.with_state(|s| s.list_calls = 0);
+        fleet.rt.sleep(Duration::from_secs(30)).await;
+        // The failing kind is listed again, with a pause of 1 s on average, and a check each second lists
+        // another kind in its place.
+        let lists = fleet.platform.with_state(|s| s.list_calls);
+        let allowed = 30 * 3 * fleet.watchers.len();
+        assert!(lists as usize <= allowed, "{lists} of {allowed} lists");
+    });
+}
+
 /// Guards against new requests to a draining replica, or to one that has ended, because the platform's
 /// copy states its earlier record.
 #[test]
