--- a/crates/marigoldloom_soak/tests/plan.rs
+++ b/crates/marigoldloom_soak/tests/plan.rs
@@ -56,6 +56,7 @@
         "Outage",
         "Pause",
         "Reset",
+        "Restore",
         "Stop",
         "Stutter",
     ];
